Lay out the workspace: decisions, wire frames, operators' language

The decision code takes events with their time and gives back actions; the stakker actor only lends it a clock.

Nothing is measured yet; doc examples pass.

--- /dev/null
+++ b/crates/core/src/instance/mod.rs
@@ -0,0 +1,416 @@
+//! One entry instance: takes events, and says what is to be done.
+
+mod keys;
+mod peers;
+mod room;
+mod schedule;
+mod view;
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::{RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::claim::{Ended, Try, Verdict};
+use crate::config::{Document, Version};
+use crate::engine::{Engine, Place, Sharing};
+use crate::event::{Action, Event};
+use crate::id;
+use crate::invariant::Ledger;
+use crate::member::Members;
+use crate::outcome::{Outcome, Reason};
+use crate::queue::Queue;
+use crate::request::{Repeat, Request};
+use crate::timeline::{self, Clock, Ring, Subject};
+use crate::unit::Tokens;
+
+pub use view::{Counters, Row, Stage as RowStage};
+
+/// How often [`Event::Tick`] is to be sent.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// The most requests of one service that wait at one instance.
+pub const MAX_WAITING: usize = 2_000;
+/// How many events of the time line an instance keeps.
+pub const RING_CAPACITY: usize = 8_192;
+/// The soonest that a refused caller is told to come back.
+pub const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The latest that a refused caller is told to come back.
+pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+
+/// Who an instance is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Its identifier.
+    pub id: id::Instance,
+    /// Its life.
+    pub incarnation: id::Incarnation,
+    /// Its availability zone.
+    pub zone: id::Zone,
+}
+
+/// What an instance is made with.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Who it is.
+    pub identity: Identity,
+    /// The time of the runtime's clock that stands for `epoch_micros`.
+    pub epoch: Instant,
+    /// Microseconds since the Unix epoch at `epoch`.
+    pub epoch_micros: u64,
+    /// Seeds the nonces of claims.
+    pub seed: u64,
+    /// How upstreams' slots are shared.
+    pub sharing: Sharing,
+}
+
+#[derive(Debug)]
+enum Stage {
+    /// Its key is being read.
+    Reading,
+    /// It waits in the queue.
+    Queued,
+    /// It has a slot and its key is being claimed.
+    Claiming(id::Upstream),
+    /// It was sent to an upstream.
+    Running(Run),
+    /// It is cut off; its slot is held until the upstream's call ends.
+    Cancelled(Run),
+    /// It has neither place nor slot; its key's record is being written.
+    Writing,
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    upstream: id::Upstream,
+    since: Instant,
+    first: Option<Instant>,
+    uncached: Tokens,
+}
+
+#[derive(Debug)]
+struct Held {
+    request: Request,
+    claim: Option<Try>,
+    stage: Stage,
+}
+
+/// What an instance has learnt about one service.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    answer_tokens: f64,
+    completions: f64,
+    rate: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self { answer_tokens: 128.0, completions: 0.0, rate: 0.0 }
+    }
+}
+
+/// One entry instance.
+///
+/// ```
+/// use std::time::Instant;
+/// use rosemarypond_core::engine::Sharing;
+/// use rosemarypond_core::event::Event;
+/// use rosemarypond_core::id::Incarnation;
+/// use rosemarypond_core::instance::{Identity, Instance, Options};
+/// let now = Instant::now();
+/// let identity = Identity {
+///     id: "a1".parse()?,
+///     incarnation: Incarnation(1),
+///     zone: "accra-a".parse()?,
+/// };
+/// let options =
+///     Options { identity, epoch: now, epoch_micros: 0, seed: 1, sharing: Sharing::Lent };
+/// let mut instance = Instance::new(options);
+/// instance.handle(now, Event::Tick);
+/// assert!(!instance.take_actions().is_empty());
+/// # Ok::<(), rosemarypond_core::id::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct Instance {
+    options: Options,
+    version: Version,
+    document: Arc<Document>,
+    engines: BTreeMap<id::Upstream, Engine>,
+    queues: BTreeMap<id::Service, Queue>,
+    held: HashMap<id::Request, Held>,
+    paces: BTreeMap<id::Service, Pace>,
+    members: Members,
+    ledger: Ledger,
+    clock: Clock,
+    ring: Ring,
+    nonces: ChaCha8Rng,
+    draining: bool,
+    last_heartbeat: Option<Instant>,
+    counters: Counters,
+    actions: Vec<Action>,
+}
+
+impl Instance {
+    /// An instance without a configuration, which takes no request yet.
+    pub fn new(options: Options) -> Self {
+        Self {
+            nonces: ChaCha8Rng::seed_from_u64(options.seed),
+            options,
+            version: Version::default(),
+            document: Arc::default(),
+            engines: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            held: HashMap::new(),
+            paces: BTreeMap::new(),
+            members: Members::default(),
+            ledger: Ledger::default(),
+            clock: Clock::default(),
+            ring: Ring::new(RING_CAPACITY),
+            draining: false,
+            last_heartbeat: None,
+            counters: Counters::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes an event that happened at `now`.
+    pub fn handle(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::Arrived(request) => self.arrived(now, request),
+            Event::CallerLeft(request) => self.caller_left(now, request),
+            Event::FirstToken(request) => self.first_token(now, request),
+            Event::Ended { request, how, tokens } => self.ended(now, request, how, tokens),
+            Event::Read { request, answer } => self.key_read(now, request, answer),
+            Event::Written { request, answer } => self.key_written(now, request, answer),
+            Event::Heard(message) => self.heard(now, message),
+            Event::Configured { version, document } => self.configured(now, version, document),
+            Event::Leaving { upstream, leaving } => self.leaving(now, upstream, leaving),
+            Event::Cache { upstream, stored, evicted } => {
+                self.cache(now, upstream, &stored, &evicted);
+            }
+            Event::Drain => self.set_draining(now, true),
+            Event::Undrain => self.set_draining(now, false),
+            Event::Tick => self.tick(now),
+        }
+    }
+
+    /// Hands over what is to be done since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    fn arrived(&mut self, now: Instant, request: Request) {
+        let id = request.id;
+        self.note(now, Subject::Request(id), format!("arrived for {}", request.service));
+        self.counters.offered(request.rank);
+        let (claim, first) = match &request.repeat {
+            Repeat::Keyed(key) => {
+                let (claim, step) = Try::start(self.nonces.next_u64(), key.fingerprint);
+                (Some(claim), Some(step))
+            }
+            Repeat::Idempotent | Repeat::Once => (None, None),
+        };
+        self.held.insert(id, Held { request, claim, stage: Stage::Reading });
+        if let Some(reason) = self.closed_reason(id) {
+            self.refuse(now, id, reason);
+        } else if let Some(step) = first {
+            self.take_step(now, id, step);
+        } else {
+            self.enqueue(now, id);
+        }
+    }
+
+    /// Why no request is taken at all, if that is so.
+    fn closed_reason(&self, id: id::Request) -> Option<Reason> {
+        let service = &self.held.get(&id)?.request.service;
+        if self.draining {
+            return Some(Reason::Draining);
+        }
+        let served = self.engines.values().any(|e| e.entry.service == *service);
+        (!served).then_some(Reason::NoUpstream)
+    }
+
+    fn caller_left(&mut self, now: Instant, id: id::Request) {
+        let Some(held) = self.held.get(&id) else { return };
+        match &held.stage {
+            Stage::Queued | Stage::Reading => self.let_go(now, id, Reason::CallerGone),
+            Stage::Running(_) if held.request.repeat.may_cancel() => {
+                self.cut_off(now, id, Reason::CallerGone);
+            }
+            _ => {}
+        }
+    }
+
+    fn first_token(&mut self, now: Instant, id: id::Request) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Stage::Running(run) = &mut held.stage else { return };
+        if run.first.is_some() {
+            return;
+        }
+        run.first = Some(now);
+        let taken = now.duration_since(run.since);
+        if let Some(engine) = self.engines.get_mut(&run.upstream) {
+            engine.first_token(&held.request, run.uncached, taken, now);
+        }
+        self.note(now, Subject::Request(id), "first token".into());
+    }
+
+    fn ended(&mut self, now: Instant, id: id::Request, how: Ended, tokens: Tokens) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let stage = std::mem::replace(&mut held.stage, Stage::Writing);
+        match stage {
+            Stage::Running(run) => {
+                self.note(now, Subject::Request(id), format!("ended {how:?} on {}", run.upstream));
+                self.release(now, id, &run.upstream);
+                self.settle(now, id, &run, how, tokens);
+                self.schedule_all(now);
+            }
+            Stage::Cancelled(run) => {
+                self.release(now, id, &run.upstream);
+                self.held.remove(&id);
+                self.schedule_all(now);
+            }
+            other => held.stage = other,
+        }
+    }
+
+    fn settle(&mut self, now: Instant, id: id::Request, run: &Run, how: Ended, tokens: Tokens) {
+        match how {
+            Ended::Whole => self.whole(now, id, run, tokens),
+            Ended::NotDispatched => {
+                self.fail_engine(now, &run.upstream);
+                self.ledger.connection_refused(id);
+                self.enqueue(now, id);
+                return;
+            }
+            Ended::Broken => {
+                self.fail_engine(now, &run.upstream);
+                self.counters.wasted(run.uncached);
+            }
+        }
+        if self.held[&id].claim.is_some() {
+            self.claim_ended(now, id, how);
+            return;
+        }
+        let outcome = match run.first {
+            Some(_) if self.held[&id].request.repeat.may_cancel() => Outcome::RanInPart,
+            _ => Outcome::Unknown,
+        };
+        let verdict = match how {
+            Ended::Whole => Verdict::Deliver,
+            _ => Verdict::Refuse(outcome, Reason::UpstreamFailed),
+        };
+        self.answer(now, id, verdict);
+        self.held.remove(&id);
+    }
+
+    fn whole(&mut self, now: Instant, id: id::Request, run: &Run, tokens: Tokens) {
+        let held = &self.held[&id];
+        let (rank, service) = (held.request.rank, held.request.service.clone());
+        let in_time = now <= held.request.deadline;
+        self.counters.whole(rank, in_time);
+        let first = run.first.unwrap_or(run.since);
+        if let Some(engine) = self.engines.get_mut(&run.upstream) {
+            engine.whole(tokens, now.duration_since(first));
+        }
+        let pace = self.paces.entry(service).or_default();
+        pace.completions += 1.0;
+        pace.answer_tokens += 0.1 * (f64::from(tokens.0) - pace.answer_tokens);
+    }
+
+    fn fail_engine(&mut self, now: Instant, upstream: &id::Upstream) {
+        if let Some(engine) = self.engines.get_mut(upstream) {
+            engine.failed(now);
+        }
+        self.note(now, Subject::Member(upstream.to_string()), "failed; paused".into());
+    }
+
+    /// Gives a final answer to a request that has no slot.
+    fn refuse(&mut self, now: Instant, id: id::Request, reason: Reason) {
+        let Some(held) = self.held.get(&id) else { return };
+        if held.claim.is_some() {
+            self.refuse_key(now, id, reason);
+            return;
+        }
+        self.leave_queue(id);
+        self.answer(now, id, Verdict::Refuse(Outcome::NotRun, reason));
+        self.held.remove(&id);
+    }
+
+    /// Cuts a running idempotent request off; its caller is told at once.
+    fn cut_off(&mut self, now: Instant, id: id::Request, reason: Reason) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Stage::Running(run) = &held.stage else { return };
+        let run = run.clone();
+        let began = run.first.is_some();
+        self.counters.wasted(run.uncached);
+        held.stage = Stage::Cancelled(run);
+        let outcome = if began { Outcome::RanInPart } else { Outcome::Unknown };
+        self.answer(now, id, Verdict::Refuse(outcome, reason));
+        self.actions.push(Action::Cancel { request: id });
+    }
+
+    fn answer(&mut self, now: Instant, id: id::Request, verdict: Verdict) {
+        let held = &self.held[&id];
+        let (rank, service) = (held.request.rank, held.request.service.clone());
+        self.ledger.answer(id, verdict);
+        let retry_after = self.retry_after(&service, rank, id);
+        if let Verdict::Refuse(outcome, reason) = verdict {
+            self.counters.refused(rank, outcome, reason);
+        }
+        self.note(now, Subject::Request(id), format!("answered {verdict:?}"));
+        self.actions.push(Action::Answer { request: id, verdict, retry_after });
+    }
+
+    /// When a caller may come back: after the backlog, spread over half as much again.
+    fn retry_after(&self, service: &id::Service, rank: u8, id: id::Request) -> Duration {
+        let backlog = self.expected_wait(service, rank).unwrap_or_default();
+        let spread = (crate::queue::spread(id) % 512) as f64 / 1_024.0;
+        let after = backlog.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER).mul_f64(1.0 + spread);
+        after.min(MAX_RETRY_AFTER)
+    }
+
+    /// How long a request of `rank` that arrives now is likely to wait.
+    fn expected_wait(&self, service: &id::Service, rank: u8) -> Option<Duration> {
+        let ahead = self.queues.get(service)?.count_to(rank) as f64;
+        let rate = self.paces.get(service)?.rate;
+        (rate > 0.1).then(|| Duration::from_secs_f64((ahead / rate).min(3_600.0)))
+    }
+
+    fn set_draining(&mut self, now: Instant, draining: bool) {
+        if self.draining != draining {
+            self.draining = draining;
+            let what = if draining { "draining" } else { "taking requests" };
+            self.note(now, Subject::Member(self.options.identity.id.to_string()), what.into());
+            self.heartbeat(now);
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        self.expire_peers(now);
+        if self.last_heartbeat.is_none_or(|at| now - at >= crate::member::HEARTBEAT_INTERVAL) {
+            self.heartbeat(now);
+        }
+        for pace in self.paces.values_mut() {
+            let rate = pace.completions / TICK_INTERVAL.as_secs_f64();
+            pace.rate += 0.05 * (rate - pace.rate);
+            pace.completions = 0.0;
+        }
+        self.expire_waiting(now);
+        self.schedule_all(now);
+        self.preempt(now);
+        self.give_back(now);
+    }
+
+    fn place(&self) -> Place {
+        let identity = &self.options.identity;
+        self.members.place(&identity.id, &identity.zone)
+    }
+
+    fn note(&mut self, now: Instant, subject: Subject, what: String) {
+        let since = now.saturating_duration_since(self.options.epoch).as_micros() as u64;
+        let stamp = self.clock.tick(self.options.epoch_micros + since);
+        self.ring.push(timeline::Event { stamp, subject, what });
+    }
+}
--- /dev/null
+++ b/crates/core/src/instance/peers.rs
@@ -0,0 +1,179 @@
+//! Peers, configuration and upstreams as they come and go.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::{Instance, Stage};
+use crate::config::{Document, Version};
+use crate::engine::Engine;
+use crate::event::Action;
+use crate::id;
+use crate::member::{Body, Change, Heartbeat, Load, Message, Slots};
+use crate::timeline::{Stamp, Subject};
+
+impl Instance {
+    pub(super) fn heard(&mut self, now: Instant, message: Message) {
+        self.clock.observe(message.stamp);
+        match self.members.hear(&message, now) {
+            Change::Stale => return,
+            Change::Joined(slots) => {
+                self.note(now, Subject::Member(message.from.to_string()), "joined".into());
+                self.settle_slots(&slots);
+            }
+            Change::Known => {}
+        }
+        let from = message.from;
+        match message.body {
+            Body::Heartbeat(heartbeat) => self.compare_config(now, from, &heartbeat),
+            Body::MakeRoom { service, rank } => {
+                self.make_room(now, &service, rank);
+            }
+            Body::Lend { upstream } => self.borrow(now, &from, upstream),
+            Body::Return { upstream } => self.take_back(now, &from, &upstream),
+            Body::WantConfig => self.send_config(now, from),
+            Body::Config { version, text } => self.config_from_peer(now, version, &text),
+        }
+    }
+
+    pub(super) fn expire_peers(&mut self, now: Instant) {
+        for (peer, slots) in self.members.expire(now) {
+            self.note(now, Subject::Member(peer.to_string()), "fell silent".into());
+            self.settle_slots(&slots);
+        }
+    }
+
+    /// Ends what a peer that is gone had lent or borrowed.
+    fn settle_slots(&mut self, slots: &Slots) {
+        for (upstream, count) in &slots.lent {
+            if let Some(engine) = self.engines.get_mut(upstream) {
+                engine.lent = engine.lent.saturating_sub(*count);
+            }
+        }
+        for (upstream, count) in &slots.borrowed {
+            if let Some(engine) = self.engines.get_mut(upstream) {
+                engine.borrowed = engine.borrowed.saturating_sub(*count);
+            }
+        }
+    }
+
+    pub(super) fn heartbeat(&mut self, now: Instant) {
+        self.last_heartbeat = Some(now);
+        let body = Body::Heartbeat(Heartbeat {
+            config: self.version,
+            draining: self.draining,
+            loads: self.loads(),
+        });
+        self.actions.push(Action::Broadcast(body));
+    }
+
+    fn loads(&self) -> Vec<Load> {
+        let mut loads: BTreeMap<(id::Service, u8), (u32, u32)> = BTreeMap::new();
+        for held in self.held.values() {
+            let request = &held.request;
+            let counts = loads.entry((request.service.clone(), request.rank)).or_default();
+            match held.stage {
+                Stage::Queued => counts.0 += 1,
+                Stage::Running(_) if request.repeat.may_cancel() => counts.1 += 1,
+                _ => {}
+            }
+        }
+        let load = |((service, rank), (waiting, cancellable))| Load {
+            service,
+            rank,
+            waiting,
+            cancellable,
+        };
+        loads.into_iter().map(load).filter(|l| l.waiting + l.cancellable > 0).collect()
+    }
+
+    /// Wraps what is to be said to peers.
+    pub fn message(&mut self, now: Instant, body: Body) -> Message {
+        let identity = &self.options.identity;
+        let since = now.saturating_duration_since(self.options.epoch).as_micros() as u64;
+        let stamp: Stamp = self.clock.tick(self.options.epoch_micros + since);
+        Message {
+            from: identity.id.clone(),
+            incarnation: identity.incarnation,
+            zone: identity.zone.clone(),
+            stamp,
+            body,
+        }
+    }
+
+    fn compare_config(&mut self, now: Instant, from: id::Instance, heartbeat: &Heartbeat) {
+        if heartbeat.config > self.version {
+            self.send(now, from, Body::WantConfig);
+        }
+    }
+
+    fn send_config(&mut self, now: Instant, to: id::Instance) {
+        let Ok(text) = serde_json::to_string(&*self.document) else { return };
+        let version = self.version;
+        self.send(now, to, Body::Config { version, text });
+    }
+
+    fn config_from_peer(&mut self, now: Instant, version: Version, text: &str) {
+        if version <= self.version {
+            return;
+        }
+        match Document::parse(text) {
+            Ok(document) => self.configured(now, version, Arc::new(document)),
+            Err(e) => self.note(now, Subject::Config(version), format!("refused: {e}")),
+        }
+    }
+
+    /// Moves up to a version; an older one is left alone.
+    pub(super) fn configured(&mut self, now: Instant, version: Version, document: Arc<Document>) {
+        if version <= self.version {
+            return;
+        }
+        self.ledger.configure(version);
+        self.version = version;
+        self.document = document;
+        self.note(now, Subject::Config(version), "in force".into());
+        self.reconcile_engines();
+        self.schedule_all(now);
+    }
+
+    fn reconcile_engines(&mut self) {
+        for entry in &self.document.upstreams {
+            match self.engines.get_mut(&entry.id) {
+                Some(engine) => engine.reconfigure(entry.clone()),
+                None => {
+                    self.engines.insert(entry.id.clone(), Engine::new(entry.clone()));
+                }
+            }
+        }
+        let listed = |id: &id::Upstream| self.document.upstreams.iter().any(|u| u.id == *id);
+        self.engines.retain(|id, engine| {
+            let stays = listed(id);
+            engine.leaving |= !stays;
+            stays || engine.running > 0
+        });
+    }
+
+    pub(super) fn leaving(&mut self, now: Instant, upstream: id::Upstream, leaving: bool) {
+        let Some(engine) = self.engines.get_mut(&upstream) else { return };
+        if engine.leaving == leaving {
+            return;
+        }
+        engine.leaving = leaving;
+        let what = if leaving { "leaving" } else { "back" };
+        self.note(now, Subject::Member(upstream.to_string()), what.into());
+    }
+
+    pub(super) fn cache(
+        &mut self,
+        now: Instant,
+        upstream: id::Upstream,
+        stored: &[u64],
+        evicted: &[u64],
+    ) {
+        let Some(engine) = self.engines.get_mut(&upstream) else { return };
+        engine.remember(stored, now);
+        for digest in evicted {
+            engine.evicted(*digest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/instance/room.rs
@@ -0,0 +1,216 @@
+//! How lower tiers make room, here and at peers, and how slots are lent.
+
+use std::time::{Duration, Instant};
+
+use super::{Instance, Stage};
+use crate::engine::Sharing;
+use crate::event::Action;
+use crate::id;
+use crate::member::{Body, Load};
+use crate::outcome::Reason;
+use crate::timeline::Subject;
+
+/// A request that waited for this share of its time, as a divisor, has lower
+/// tiers cut off to make room.
+const PREEMPT_DIVISOR: u32 = 8;
+/// The most requests of one service that are cut off at one tick.
+const MAX_PREEMPTED: usize = 8;
+
+impl Instance {
+    /// Whether work below `rank` that could make room waits or runs here, or
+    /// at a peer of this zone that is heard.
+    pub(super) fn lower_could_make_room(&self, service: &id::Service, rank: u8) -> bool {
+        self.local_lower(service, rank) || self.peer_with_lower(service, rank).is_some()
+    }
+
+    pub(super) fn local_lower(&self, service: &id::Service, rank: u8) -> bool {
+        let waits = self.queues.get(service).is_some_and(|q| q.lowest_below(rank).is_some());
+        waits || self.victim(service, rank).is_some()
+    }
+
+    /// The peer that holds the lowest work below `rank`.
+    fn peer_with_lower(&self, service: &id::Service, rank: u8) -> Option<id::Instance> {
+        if self.options.sharing != Sharing::Lent {
+            return None;
+        }
+        let zone = &self.options.identity.zone;
+        let is_lower = |load: &&Load| {
+            load.service == *service && load.rank > rank && load.waiting + load.cancellable > 0
+        };
+        let lowest = |(id, peer): (&id::Instance, &crate::member::Peer)| {
+            let rank = peer.heartbeat.loads.iter().filter(is_lower).map(|l| l.rank).max()?;
+            Some((rank, id.clone()))
+        };
+        let (_, id) = self.members.in_zone(zone).filter_map(lowest).max()?;
+        Some(id)
+    }
+
+    /// Asks the peer with the lowest work to make room; says whether there is one.
+    pub(super) fn ask_for_room(&mut self, now: Instant, service: &id::Service, rank: u8) -> bool {
+        let Some(peer) = self.peer_with_lower(service, rank) else { return false };
+        let body = Body::MakeRoom { service: service.clone(), rank };
+        self.send(now, peer, body);
+        true
+    }
+
+    /// Cuts running work below `rank` off; says whether there was any.
+    pub(super) fn make_room(&mut self, now: Instant, service: &id::Service, rank: u8) -> bool {
+        let Some(victim) = self.victim(service, rank) else { return false };
+        self.cut_off(now, victim, Reason::Preempted);
+        true
+    }
+
+    /// The running request that is cut off first: the lowest tier, then the
+    /// one that ran the shortest, since it loses the least.
+    fn victim(&self, service: &id::Service, rank: u8) -> Option<id::Request> {
+        let key = |(id, held): (&id::Request, &super::Held)| {
+            let Stage::Running(run) = &held.stage else { return None };
+            let request = &held.request;
+            let below = request.rank > rank && request.service == *service;
+            (below && request.repeat.may_cancel()).then_some((request.rank, run.since, *id))
+        };
+        self.held.iter().filter_map(key).max().map(|(_, _, id)| id)
+    }
+
+    /// Cuts lower work off for requests that have waited for long.
+    pub(super) fn preempt(&mut self, now: Instant) {
+        let services: Vec<_> = self.queues.keys().cloned().collect();
+        for service in services {
+            self.preempt_in(now, &service);
+        }
+    }
+
+    fn preempt_in(&mut self, now: Instant, service: &id::Service) {
+        let Some((rank, wanted)) = self.overdue(now, service) else { return };
+        let cutting = self.cancelled_count(service);
+        for _ in cutting..wanted.min(MAX_PREEMPTED) {
+            if !self.make_room(now, service, rank) {
+                self.ask_for_room(now, service, rank);
+                return;
+            }
+        }
+    }
+
+    /// The rank of the next request and how many of its rank wait, where it
+    /// has waited for long.
+    fn overdue(&self, now: Instant, service: &id::Service) -> Option<(u8, usize)> {
+        let queue = self.queues.get(service)?;
+        let first = queue.first()?;
+        let whole: Duration = first.deadline.saturating_duration_since(first.arrived);
+        let waited = now.saturating_duration_since(first.arrived);
+        (waited > whole / PREEMPT_DIVISOR).then(|| (first.rank, queue.count(first.rank)))
+    }
+
+    fn cancelled_count(&self, service: &id::Service) -> usize {
+        let cut = |h: &&super::Held| {
+            matches!(h.stage, Stage::Cancelled(_)) && h.request.service == *service
+        };
+        self.held.values().filter(cut).count()
+    }
+
+    /// A peer of this zone where a request above `rank` waits for this service.
+    pub(super) fn peer_in_need(&self, service: &id::Service, rank: u8) -> Option<id::Instance> {
+        if self.options.sharing != Sharing::Lent {
+            return None;
+        }
+        let zone = &self.options.identity.zone;
+        let need = |load: &&Load| load.service == *service && load.rank < rank && load.waiting > 0;
+        let highest = |(id, peer): (&id::Instance, &crate::member::Peer)| {
+            let rank = peer.heartbeat.loads.iter().filter(need).map(|l| l.rank).min()?;
+            Some((rank, id.clone()))
+        };
+        let (_, id) = self.members.in_zone(zone).filter_map(highest).min()?;
+        Some(id)
+    }
+
+    /// Lends a slot to a peer whose request above `rank` waits.
+    pub(super) fn lend(
+        &mut self,
+        now: Instant,
+        to: &id::Instance,
+        service: &id::Service,
+        rank: u8,
+        upstream: &id::Upstream,
+    ) {
+        let Some(peer) = self.members.get_mut(to) else { return };
+        *peer.lent.entry(upstream.clone()).or_default() += 1;
+        let loads = peer.heartbeat.loads.iter_mut();
+        let need = |l: &&mut Load| l.service == *service && l.rank < rank && l.waiting > 0;
+        if let Some(load) = loads.filter(need).min_by_key(|l| l.rank) {
+            load.waiting -= 1;
+        }
+        if let Some(engine) = self.engines.get_mut(upstream) {
+            engine.lent += 1;
+        }
+        self.note(now, Subject::Member(upstream.to_string()), format!("slot lent to {to}"));
+        self.send(now, to.clone(), Body::Lend { upstream: upstream.clone() });
+    }
+
+    /// Takes a slot that a peer lent.
+    pub(super) fn borrow(&mut self, now: Instant, from: &id::Instance, upstream: id::Upstream) {
+        let Some(peer) = self.members.get_mut(from) else { return };
+        *peer.borrowed.entry(upstream.clone()).or_default() += 1;
+        if let Some(engine) = self.engines.get_mut(&upstream) {
+            engine.borrowed += 1;
+        }
+        self.schedule_all(now);
+    }
+
+    /// Takes a slot back that a peer returned.
+    pub(super) fn take_back(&mut self, now: Instant, from: &id::Instance, upstream: &id::Upstream) {
+        let Some(peer) = self.members.get_mut(from) else { return };
+        let Some(lent) = peer.lent.get_mut(upstream) else { return };
+        *lent -= 1;
+        if *lent == 0 {
+            peer.lent.remove(upstream);
+        }
+        if let Some(engine) = self.engines.get_mut(upstream) {
+            engine.lent = engine.lent.saturating_sub(1);
+        }
+        self.schedule_all(now);
+    }
+
+    /// Returns one borrowed slot of an upstream, if there is one.
+    pub(super) fn return_slot(&mut self, now: Instant, upstream: &id::Upstream) {
+        let lender = self.members.iter().find(|(_, p)| p.borrowed.contains_key(upstream));
+        let Some(lender) = lender.map(|(id, _)| id.clone()) else { return };
+        let Some(peer) = self.members.get_mut(&lender) else { return };
+        if let Some(count) = peer.borrowed.get_mut(upstream) {
+            *count -= 1;
+            if *count == 0 {
+                peer.borrowed.remove(upstream);
+            }
+        }
+        if let Some(engine) = self.engines.get_mut(upstream) {
+            engine.borrowed = engine.borrowed.saturating_sub(1);
+        }
+        self.send(now, lender, Body::Return { upstream: upstream.clone() });
+    }
+
+    /// Lends room that nobody here waits for, and returns what is not used.
+    pub(super) fn give_back(&mut self, now: Instant) {
+        if self.options.sharing != Sharing::Lent {
+            return;
+        }
+        let place = self.place();
+        let idle = |e: &&crate::engine::Engine| {
+            let waits = self.queues.get(&e.entry.service).is_some_and(|q| !q.is_empty());
+            !waits && e.is_open(now) && e.room(Sharing::Lent, place) > 0
+        };
+        let idle: Vec<_> = self.engines.values().filter(idle).map(|e| e.entry.clone()).collect();
+        for entry in idle {
+            if self.engines[&entry.id].borrowed > 0 {
+                self.return_slot(now, &entry.id);
+            } else if entry.zone == self.options.identity.zone
+                && let Some(peer) = self.peer_in_need(&entry.service, u8::MAX)
+            {
+                self.lend(now, &peer, &entry.service, u8::MAX, &entry.id);
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, now: Instant, to: id::Instance, body: Body) {
+        let message = self.message(now, body);
+        self.actions.push(Action::Send { to, message });
+    }
+}
--- /dev/null
+++ b/crates/core/src/instance/schedule.rs
@@ -0,0 +1,234 @@
+//! Which request runs next, and on which upstream.
+
+use std::time::{Duration, Instant};
+
+use super::{Instance, MAX_WAITING, Run, Stage};
+use crate::config::Kind;
+use crate::engine::{Engine, Place};
+use crate::event::Action;
+use crate::id;
+use crate::outcome::Reason;
+use crate::request::Request;
+use crate::timeline::Subject;
+use crate::unit::Tokens;
+
+/// The cost of one answer token, counted in prompt tokens.
+const ANSWER_TOKEN_COST: u64 = 8;
+/// The share of an upstream that a foreign zone may use, as a divisor.
+const FOREIGN_SHARE: u32 = 8;
+
+impl Instance {
+    /// Puts a request into its queue, or refuses it where that is hopeless.
+    pub(super) fn enqueue(&mut self, now: Instant, id: id::Request) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.stage = Stage::Queued;
+        let request = held.request.clone();
+        let (rank, service) = (request.rank, request.service.clone());
+        self.queues.entry(service.clone()).or_default().push(request);
+        if self.is_hopeless(now, &service, id) {
+            let lower = self.lower_could_make_room(&service, rank);
+            self.ledger.shed(id, rank, lower);
+            self.refuse(now, id, Reason::Overload);
+            return;
+        }
+        self.bound_queue(now, &service, rank);
+        self.schedule(now, &service);
+    }
+
+    /// Whether a request would wait past its deadline with nothing below it
+    /// to make room.
+    fn is_hopeless(&self, now: Instant, service: &id::Service, id: id::Request) -> bool {
+        let request = &self.held[&id].request;
+        let Some(wait) = self.expected_wait(service, request.rank) else { return false };
+        let slack = request.deadline.saturating_duration_since(now);
+        let run = self.best_time(now, request).unwrap_or_default();
+        wait + run > slack && !self.lower_could_make_room(service, request.rank)
+    }
+
+    /// Sheds from the bottom until the queue is within its bound.
+    fn bound_queue(&mut self, now: Instant, service: &id::Service, rank: u8) {
+        while self.queues[service].len() > MAX_WAITING {
+            if let Some(lower) = self.queues[service].lowest_below(rank) {
+                let lower = lower.id;
+                self.refuse(now, lower, Reason::Preempted);
+                continue;
+            }
+            if self.make_room(now, service, rank) || self.ask_for_room(now, service, rank) {
+                return;
+            }
+            let Some(last) = self.queues[service].lowest() else { return };
+            let (last, last_rank) = (last.id, last.rank);
+            self.ledger.shed(last, last_rank, self.local_lower(service, last_rank));
+            self.refuse(now, last, Reason::Overload);
+        }
+    }
+
+    pub(super) fn leave_queue(&mut self, id: id::Request) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        if let Some(queue) = self.queues.get_mut(&held.request.service) {
+            queue.remove(id);
+        }
+        if matches!(held.stage, Stage::Queued) {
+            held.stage = Stage::Writing;
+        }
+    }
+
+    pub(super) fn schedule_all(&mut self, now: Instant) {
+        let busy = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        let services: Vec<_> = busy.map(|(service, _)| service.clone()).collect();
+        for service in services {
+            self.schedule(now, &service);
+        }
+    }
+
+    /// Lets waiting requests of a service run while there is room.
+    pub(super) fn schedule(&mut self, now: Instant, service: &id::Service) {
+        while let Some((id, upstream)) = self.next_placement(now, service) {
+            let rank = self.held[&id].request.rank;
+            if let Some(peer) = self.peer_in_need(service, rank) {
+                self.lend(now, &peer, service, rank, &upstream);
+            } else {
+                self.grant(now, id, upstream);
+            }
+        }
+    }
+
+    fn next_placement(&self, now: Instant, service: &id::Service) -> Option<(id::Request, id::Upstream)> {
+        let queue = self.queues.get(service)?;
+        let place = |request: &Request| {
+            let upstream = self.best_upstream(now, request)?;
+            Some((request.id, upstream))
+        };
+        queue.candidates().find_map(place)
+    }
+
+    /// The upstream with room that is likely to finish a request first.
+    ///
+    /// An upstream that cannot finish it in time is left out as long as
+    /// another one, which has no room now, could.
+    fn best_upstream(&self, now: Instant, request: &Request) -> Option<id::Upstream> {
+        let answer = self.expected_answer(request);
+        let slack = request.deadline.saturating_duration_since(now);
+        let timed = |e: &Engine| (e.whole_time(request, answer, now), e.entry.id.clone());
+        let place = self.place();
+        let with_room = self.open_engines(now, request).filter(|e| self.room_on(e, place) > 0);
+        let (time, upstream) = with_room.map(timed).min()?;
+        if time <= slack {
+            return Some(upstream);
+        }
+        let best = self.best_time(now, request)?;
+        (best > slack).then_some(upstream)
+    }
+
+    /// The shortest time in which any open upstream could run a request.
+    pub(super) fn best_time(&self, now: Instant, request: &Request) -> Option<Duration> {
+        let answer = self.expected_answer(request);
+        let times = self.open_engines(now, request).map(|e| e.whole_time(request, answer, now));
+        times.min()
+    }
+
+    fn expected_answer(&self, request: &Request) -> Tokens {
+        let learnt = self.paces.get(&request.service).copied().unwrap_or_default().answer_tokens;
+        let learnt = Tokens(learnt as u32);
+        request.max_answer.map_or(learnt, |most| most.min(learnt))
+    }
+
+    /// The open upstreams of the own zone, or of others where it has none.
+    fn open_engines<'a>(
+        &'a self,
+        now: Instant,
+        request: &'a Request,
+    ) -> impl Iterator<Item = &'a Engine> {
+        let zone = &self.options.identity.zone;
+        let open = move |e: &&Engine| e.entry.service == request.service && e.is_open(now);
+        let has_own = self.engines.values().filter(open).any(|e| e.entry.zone == *zone);
+        let in_reach = move |e: &&Engine| !has_own || e.entry.zone == *zone;
+        self.engines.values().filter(open).filter(in_reach)
+    }
+
+    fn room_on(&self, engine: &Engine, place: Place) -> u32 {
+        if engine.entry.zone == self.options.identity.zone {
+            return engine.room(self.options.sharing, place);
+        }
+        let most = (engine.limit() / FOREIGN_SHARE).max(1);
+        most.saturating_sub(engine.running)
+    }
+
+    fn grant(&mut self, now: Instant, id: id::Request, upstream: id::Upstream) {
+        let request = &self.held[&id].request;
+        let answer = self.expected_answer(request);
+        let cost = u64::from(request.prompt.0) + ANSWER_TOKEN_COST * u64::from(answer.0);
+        let service = request.service.clone();
+        if let Some(queue) = self.queues.get_mut(&service) {
+            queue.take(id, cost);
+        }
+        let Some(held) = self.held.get_mut(&id) else { return };
+        if let Some(engine) = self.engines.get_mut(&upstream) {
+            engine.running += 1;
+        }
+        held.stage = Stage::Claiming(upstream.clone());
+        match &mut held.claim {
+            Some(claim) if !claim.holds_claim() => {
+                let step = claim.granted();
+                self.take_step(now, id, step);
+            }
+            _ => self.dispatch(now, id, upstream),
+        }
+    }
+
+    /// Sends a request that holds a slot to its upstream.
+    pub(super) fn dispatch(&mut self, now: Instant, id: id::Request, upstream: id::Upstream) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(engine) = self.engines.get_mut(&upstream) else { return };
+        self.ledger.dispatch(id, engine.is_open(now));
+        let cached = engine.cached(&held.request, now);
+        let uncached = match engine.entry.kind {
+            Kind::Engine => Tokens(held.request.prompt.0 - cached.0),
+            Kind::Plain => Tokens(0),
+        };
+        engine.dispatched(&held.request, now);
+        held.stage = Stage::Running(Run { upstream: upstream.clone(), since: now, first: None, uncached });
+        self.counters.prefilled(uncached);
+        self.note(now, Subject::Request(id), format!("dispatched to {upstream}"));
+        self.actions.push(Action::Dispatch { request: id, upstream });
+    }
+
+    /// Frees the slot of a request.
+    pub(super) fn release(&mut self, now: Instant, id: id::Request, upstream: &id::Upstream) {
+        let Some(engine) = self.engines.get_mut(upstream) else { return };
+        engine.released(id);
+        let is_gone = engine.running == 0 && self.document.upstreams.iter().all(|u| u.id != *upstream);
+        if is_gone {
+            self.engines.remove(upstream);
+            return;
+        }
+        self.return_slot(now, upstream);
+    }
+
+    /// Refuses waiting requests that can no longer finish in time.
+    pub(super) fn expire_waiting(&mut self, now: Instant) {
+        let services: Vec<_> = self.queues.keys().cloned().collect();
+        for service in services {
+            while let Some(request) = self.queues[&service].due(now) {
+                let id = request.id;
+                self.refuse(now, id, Reason::Deadline);
+            }
+            self.refuse_late_heads(now, &service);
+        }
+    }
+
+    /// Refuses the next requests of each tier where even a free upstream
+    /// would not finish them in time.
+    fn refuse_late_heads(&mut self, now: Instant, service: &id::Service) {
+        let is_late = |request: &&Request| {
+            let slack = request.deadline.saturating_duration_since(now);
+            let waited = now.saturating_duration_since(request.arrived);
+            waited > slack && self.best_time(now, request).is_some_and(|best| best > slack)
+        };
+        let late = self.queues[service].candidates().filter(is_late);
+        let late: Vec<_> = late.map(|request| request.id).collect();
+        for id in late {
+            self.refuse(now, id, Reason::Deadline);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,21 @@
+//! The decisions of the rosemarypond request scheduler.
+//!
+//! Nothing here reads a clock, opens a connection or starts a thread: each
+//! module takes events with the time at which they happened and gives back
+//! what is to be done.
+
+pub mod actor;
+pub mod claim;
+pub mod config;
+pub mod engine;
+pub mod event;
+pub mod id;
+pub mod instance;
+pub mod invariant;
+pub mod language;
+pub mod member;
+pub mod outcome;
+pub mod queue;
+pub mod request;
+pub mod timeline;
+pub mod unit;
--- /dev/null
+++ b/crates/core/src/member.rs
@@ -0,0 +1,205 @@
+//! The other entry instances, as one instance knows them.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::config;
+use crate::engine::Place;
+use crate::id;
+use crate::timeline::Stamp;
+
+/// How often an instance tells its peers how it is.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// A peer that was not heard for this long is taken to be gone.
+pub const SILENCE: Duration = Duration::from_secs(3);
+
+/// How much of one service and tier an instance holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// The service.
+    pub service: id::Service,
+    /// The rank of the tier.
+    pub rank: u8,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Running requests that may be cancelled to make room.
+    pub cancellable: u32,
+}
+
+/// How an instance is.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Heartbeat {
+    /// The version of the configuration that it follows.
+    pub config: config::Version,
+    /// Whether it takes no new requests.
+    pub draining: bool,
+    /// What it holds.
+    pub loads: Vec<Load>,
+}
+
+/// What instances tell each other.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Body {
+    /// How the sender is.
+    Heartbeat(Heartbeat),
+    /// The sender has a request that finds no room.
+    MakeRoom {
+        /// The service that it asks for.
+        service: id::Service,
+        /// Its rank; only work below it makes room.
+        rank: u8,
+    },
+    /// The receiver may use one slot of the sender's share.
+    Lend {
+        /// The upstream.
+        upstream: id::Upstream,
+    },
+    /// The receiver gets a lent slot back.
+    Return {
+        /// The upstream.
+        upstream: id::Upstream,
+    },
+    /// The sender wants the configuration that the receiver follows.
+    WantConfig,
+    /// The configuration that the sender follows.
+    Config {
+        /// Its version.
+        version: config::Version,
+        /// Its text.
+        text: String,
+    },
+}
+
+/// A message with where and when it was sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Message {
+    /// The sender.
+    pub from: id::Instance,
+    /// The sender's life.
+    pub incarnation: id::Incarnation,
+    /// The sender's availability zone.
+    pub zone: id::Zone,
+    /// When it was sent, by the sender's hybrid clock.
+    pub stamp: Stamp,
+    /// What it says.
+    pub body: Body,
+}
+
+/// A peer as it was last heard.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its life.
+    pub incarnation: id::Incarnation,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// When it was last heard.
+    pub heard: Instant,
+    /// What it said of itself.
+    pub heartbeat: Heartbeat,
+    /// Slots by upstream that were lent to it.
+    pub lent: BTreeMap<id::Upstream, u32>,
+    /// Slots by upstream that it lent to this instance.
+    pub borrowed: BTreeMap<id::Upstream, u32>,
+}
+
+/// What hearing a message changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The sender was known in this life.
+    Known,
+    /// The sender is new or was restarted; slots of its former life are listed.
+    Joined(Slots),
+    /// The message is from a former life and is not to be acted on.
+    Stale,
+}
+
+/// Slots that were lent to and borrowed from a peer that is gone.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Slots {
+    /// Slots by upstream that were lent to it.
+    pub lent: BTreeMap<id::Upstream, u32>,
+    /// Slots by upstream that it had lent.
+    pub borrowed: BTreeMap<id::Upstream, u32>,
+}
+
+/// The peers of an instance.
+#[derive(Debug, Default)]
+pub struct Members {
+    peers: BTreeMap<id::Instance, Peer>,
+    former: BTreeMap<id::Instance, id::Incarnation>,
+}
+
+impl Members {
+    /// Takes note of a message.
+    pub fn hear(&mut self, message: &Message, now: Instant) -> Change {
+        let newest = self.former.get(&message.from).copied().unwrap_or_default();
+        if message.incarnation < newest {
+            return Change::Stale;
+        }
+        self.former.insert(message.from.clone(), message.incarnation);
+        if let Some(peer) = self.peers.get_mut(&message.from)
+            && peer.incarnation == message.incarnation
+        {
+            peer.heard = now;
+            if let Body::Heartbeat(heartbeat) = &message.body {
+                peer.heartbeat = heartbeat.clone();
+            }
+            return Change::Known;
+        }
+        Change::Joined(self.join(message, now))
+    }
+
+    fn join(&mut self, message: &Message, now: Instant) -> Slots {
+        let heartbeat = match &message.body {
+            Body::Heartbeat(heartbeat) => heartbeat.clone(),
+            _ => Heartbeat::default(),
+        };
+        let peer = Peer {
+            incarnation: message.incarnation,
+            zone: message.zone.clone(),
+            heard: now,
+            heartbeat,
+            lent: BTreeMap::new(),
+            borrowed: BTreeMap::new(),
+        };
+        let former = self.peers.insert(message.from.clone(), peer);
+        former.map_or_else(Slots::default, |p| Slots { lent: p.lent, borrowed: p.borrowed })
+    }
+
+    /// Forgets the peers that fell silent and gives their slots back.
+    pub fn expire(&mut self, now: Instant) -> Vec<(id::Instance, Slots)> {
+        let silent = |p: &Peer| now.saturating_duration_since(p.heard) > SILENCE;
+        let gone: Vec<_> =
+            self.peers.iter().filter(|(_, p)| silent(p)).map(|(id, _)| id.clone()).collect();
+        let forget = |id: id::Instance| {
+            let peer = self.peers.remove(&id)?;
+            Some((id, Slots { lent: peer.lent, borrowed: peer.borrowed }))
+        };
+        gone.into_iter().filter_map(forget).collect()
+    }
+
+    /// The peers that are heard.
+    pub fn iter(&self) -> impl Iterator<Item = (&id::Instance, &Peer)> {
+        self.peers.iter()
+    }
+
+    /// The peers of a zone that are heard.
+    pub fn in_zone<'a>(
+        &'a self,
+        zone: &'a id::Zone,
+    ) -> impl Iterator<Item = (&'a id::Instance, &'a Peer)> {
+        self.peers.iter().filter(move |(_, p)| p.zone == *zone)
+    }
+
+    /// A peer that is heard.
+    pub fn get_mut(&mut self, id: &id::Instance) -> Option<&mut Peer> {
+        self.peers.get_mut(id)
+    }
+
+    /// The place of an instance among those of its zone that share upstreams.
+    pub fn place(&self, own: &id::Instance, zone: &id::Zone) -> Place {
+        let sharing = self.in_zone(zone).filter(|(_, p)| !p.heartbeat.draining);
+        let (before, after): (Vec<_>, Vec<_>) = sharing.partition(|(id, _)| *id < own);
+        Place { index: before.len(), members: before.len() + after.len() + 1 }
+    }
+}
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,230 @@
+//! The requests of one service that wait for room, by tier and team.
+//!
+//! Within a tier, flows share by the work that they ask for: a flow is a
+//! team's short or long requests, so that neither a large team nor a long
+//! request stands in the way of the others.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Instant;
+
+use crate::id;
+use crate::request::Request;
+
+/// Requests with a longer prompt than this count as long.
+pub const LONG_PROMPT_TOKENS: u32 = 1_024;
+
+const CANDIDATES: usize = 4;
+
+/// Spreads a text evenly over the numbers, the same way on every instance.
+///
+/// ```
+/// use rosemarypond_core::queue::spread;
+/// assert_eq!(spread("e1"), spread("e1"));
+/// ```
+pub fn spread(text: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+struct Flow {
+    team: id::Team,
+    is_long: bool,
+}
+
+impl Flow {
+    fn of(request: &Request) -> Self {
+        Self { team: request.team.clone(), is_long: request.prompt.0 > LONG_PROMPT_TOKENS }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Backlog {
+    finish: u64,
+    waiting: VecDeque<id::Request>,
+}
+
+#[derive(Debug, Default)]
+struct Level {
+    clock: u64,
+    flows: HashMap<Flow, Backlog>,
+    by_finish: BTreeSet<(u64, Flow)>,
+    by_length: BTreeSet<(usize, Flow)>,
+    count: usize,
+}
+
+impl Level {
+    fn enlist(&mut self, flow: &Flow) {
+        let backlog = &self.flows[flow];
+        if !backlog.waiting.is_empty() {
+            self.by_finish.insert((backlog.finish, flow.clone()));
+            self.by_length.insert((backlog.waiting.len(), flow.clone()));
+        }
+    }
+
+    fn delist(&mut self, flow: &Flow) {
+        if let Some(backlog) = self.flows.get(flow) {
+            self.by_finish.remove(&(backlog.finish, flow.clone()));
+            self.by_length.remove(&(backlog.waiting.len(), flow.clone()));
+        }
+    }
+
+    fn push(&mut self, flow: Flow, request: id::Request) {
+        self.delist(&flow);
+        let clock = self.clock;
+        let backlog = self.flows.entry(flow.clone()).or_default();
+        if backlog.waiting.is_empty() {
+            backlog.finish = backlog.finish.max(clock);
+        }
+        backlog.waiting.push_back(request);
+        self.count += 1;
+        self.enlist(&flow);
+    }
+
+    fn first(&self) -> Option<id::Request> {
+        let (_, flow) = self.by_finish.first()?;
+        self.flows[flow].waiting.front().copied()
+    }
+
+    fn firsts(&self) -> impl Iterator<Item = id::Request> {
+        let front = |flow: &Flow| self.flows[flow].waiting.front().copied();
+        self.by_finish.iter().filter_map(move |(_, flow)| front(flow))
+    }
+
+    fn newest_of_longest(&self) -> Option<id::Request> {
+        let (_, flow) = self.by_length.last()?;
+        self.flows[flow].waiting.back().copied()
+    }
+
+    fn remove(&mut self, flow: &Flow, request: id::Request) {
+        self.delist(flow);
+        let Some(backlog) = self.flows.get_mut(flow) else { return };
+        let Some(place) = backlog.waiting.iter().position(|r| *r == request) else { return };
+        backlog.waiting.remove(place);
+        self.count -= 1;
+        self.settle(flow);
+    }
+
+    /// Charges the work of a request that is about to run to its flow.
+    fn charge(&mut self, flow: &Flow, cost: u64) {
+        self.delist(flow);
+        let Some(backlog) = self.flows.get_mut(flow) else { return };
+        self.clock = self.clock.max(backlog.finish);
+        backlog.finish += cost.max(1);
+        self.settle(flow);
+    }
+
+    fn settle(&mut self, flow: &Flow) {
+        self.enlist(flow);
+        let clock = self.clock;
+        // An idle flow that owes nothing is forgotten, so that teams cost
+        // memory only while they are active.
+        self.flows.retain(|f, b| f != flow || !b.waiting.is_empty() || b.finish > clock);
+    }
+}
+
+/// The requests of one service that wait.
+#[derive(Debug, Default)]
+pub struct Queue {
+    levels: BTreeMap<u8, Level>,
+    requests: HashMap<id::Request, Request>,
+    deadlines: BTreeSet<(Instant, id::Request)>,
+}
+
+impl Queue {
+    /// Adds a request.
+    pub fn push(&mut self, request: Request) {
+        self.levels.entry(request.rank).or_default().push(Flow::of(&request), request.id);
+        self.deadlines.insert((request.deadline, request.id));
+        self.requests.insert(request.id, request);
+    }
+
+    /// Takes a request out that will not run.
+    pub fn remove(&mut self, request: id::Request) -> Option<Request> {
+        let request = self.requests.remove(&request)?;
+        self.deadlines.remove(&(request.deadline, request.id));
+        let level = self.levels.get_mut(&request.rank)?;
+        level.remove(&Flow::of(&request), request.id);
+        Some(request)
+    }
+
+    /// Takes a request out that is about to run, and charges its team for it.
+    pub fn take(&mut self, request: id::Request, cost: u64) -> Option<Request> {
+        let request = self.remove(request)?;
+        let level = self.levels.get_mut(&request.rank)?;
+        let flow = Flow::of(&request);
+        level.flows.entry(flow.clone()).or_insert_with(|| Backlog {
+            finish: level.clock,
+            waiting: VecDeque::new(),
+        });
+        level.charge(&flow, cost);
+        Some(request)
+    }
+
+    /// The next requests of each tier, highest tier first.
+    ///
+    /// A few flows of each tier are looked at, so that a request that has to
+    /// wait for a fast upstream does not hold up those behind it.
+    pub fn candidates(&self) -> impl Iterator<Item = &Request> {
+        let ids = self.levels.values().flat_map(|level| level.firsts().take(CANDIDATES));
+        ids.filter_map(|id| self.requests.get(&id))
+    }
+
+    /// The request that runs next.
+    pub fn first(&self) -> Option<&Request> {
+        let first = self.levels.values().find_map(Level::first)?;
+        self.requests.get(&first)
+    }
+
+    /// The request that is shed first.
+    pub fn lowest(&self) -> Option<&Request> {
+        let last = self.levels.values().rev().find_map(Level::newest_of_longest)?;
+        self.requests.get(&last)
+    }
+
+    /// The request that is shed first, if it is below `rank`.
+    pub fn lowest_below(&self, rank: u8) -> Option<&Request> {
+        self.lowest().filter(|request| request.rank > rank)
+    }
+
+    /// A request whose deadline is before `time`, the earliest first.
+    pub fn due(&self, time: Instant) -> Option<&Request> {
+        let (deadline, request) = self.deadlines.first()?;
+        if *deadline > time {
+            return None;
+        }
+        self.requests.get(request)
+    }
+
+    /// How many requests wait.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// How many requests of a rank wait.
+    pub fn count(&self, rank: u8) -> usize {
+        self.levels.get(&rank).map_or(0, |level| level.count)
+    }
+
+    /// How many requests of a rank or of a higher one wait.
+    pub fn count_to(&self, rank: u8) -> usize {
+        self.levels.range(..=rank).map(|(_, level)| level.count).sum()
+    }
+
+    /// The waiting requests, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &Request> {
+        self.requests.values()
+    }
+
+    /// How many flows are held in memory.
+    pub fn flow_count(&self) -> usize {
+        self.levels.values().map(|level| level.flows.len()).sum()
+    }
+}
