Serve the thin whole path over separate processes

One request goes from a caller over HTTP through an entry instance to one upstream and streams back; keyed requests claim their record in the platform's table; operators ask and steer through rosemarypondctl. Stand-ins for engine, plain service and platform run as processes of their own in the tests.

--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -1,11 +1,12 @@
 //! The actor that gives an [`Instance`] its time.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use stakker::{CX, Fwd, after, fwd};
 
 use crate::event::{Action, Event};
 use crate::instance::{Instance, Options, TICK_INTERVAL};
+use crate::member::{Body, Message};
 
 /// An instance on a stakker runtime, real or virtual.
 ///
@@ -63,6 +64,11 @@
         &self.instance
     }
 
+    /// Wraps what is to be said to peers, at `now`.
+    pub fn message(&mut self, now: Instant, body: Body) -> Message {
+        self.instance.message(now, body)
+    }
+
     fn tick(&mut self, cx: CX![]) {
         self.event(cx, Event::Tick);
         after!(TICK_INTERVAL, [cx], tick());
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -154,6 +154,9 @@
     pub rules: Vec<Rule>,
     /// The upstreams.
     pub upstreams: Vec<Upstream>,
+    /// Signs resume tokens; without it none are issued.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub resume_secret: Option<String>,
 }
 
 /// Why a document is not accepted.
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -133,9 +133,7 @@
             Sharing::Independent => limit,
             Sharing::Owned if turn == 0 => limit,
             Sharing::Owned => 0,
-            Sharing::Lent | Sharing::Split => {
-                limit / members + u32::from(turn < limit % members)
-            }
+            Sharing::Lent | Sharing::Split => limit / members + u32::from(turn < limit % members),
         }
     }
 
@@ -208,7 +206,13 @@
     }
 
     /// Learns from a first token that came after `taken`.
-    pub fn first_token(&mut self, request: &Request, uncached: Tokens, taken: Duration, now: Instant) {
+    pub fn first_token(
+        &mut self,
+        request: &Request,
+        uncached: Tokens,
+        taken: Duration,
+        now: Instant,
+    ) {
         self.awaiting_first.remove(&request.id);
         self.failures = 0;
         let seconds = taken.as_secs_f64().max(1e-4);
--- a/crates/core/src/instance/keys.rs
+++ b/crates/core/src/instance/keys.rs
@@ -117,7 +117,11 @@
         }
     }
 
-    fn push_key_action(&mut self, id: id::Request, action: impl FnOnce(id::Request, Key) -> Action) {
+    fn push_key_action(
+        &mut self,
+        id: id::Request,
+        action: impl FnOnce(id::Request, Key) -> Action,
+    ) {
         let Some(held) = self.held.get(&id) else { return };
         if let Repeat::Keyed(key) = &held.request.repeat {
             self.actions.push(action(id, key.clone()));
--- a/crates/core/src/instance/schedule.rs
+++ b/crates/core/src/instance/schedule.rs
@@ -93,7 +93,11 @@
         }
     }
 
-    fn next_placement(&self, now: Instant, service: &id::Service) -> Option<(id::Request, id::Upstream)> {
+    fn next_placement(
+        &self,
+        now: Instant,
+        service: &id::Service,
+    ) -> Option<(id::Request, id::Upstream)> {
         let queue = self.queues.get(service)?;
         let place = |request: &Request| {
             let upstream = self.best_upstream(now, request)?;
@@ -187,7 +191,8 @@
             Kind::Plain => Tokens(0),
         };
         engine.dispatched(&held.request, now);
-        held.stage = Stage::Running(Run { upstream: upstream.clone(), since: now, first: None, uncached });
+        held.stage =
+            Stage::Running(Run { upstream: upstream.clone(), since: now, first: None, uncached });
         self.counters.prefilled(uncached);
         self.note(now, Subject::Request(id), format!("dispatched to {upstream}"));
         self.actions.push(Action::Dispatch { request: id, upstream });
@@ -197,7 +202,8 @@
     pub(super) fn release(&mut self, now: Instant, id: id::Request, upstream: &id::Upstream) {
         let Some(engine) = self.engines.get_mut(upstream) else { return };
         engine.released(id);
-        let is_gone = engine.running == 0 && self.document.upstreams.iter().all(|u| u.id != *upstream);
+        let is_gone =
+            engine.running == 0 && self.document.upstreams.iter().all(|u| u.id != *upstream);
         if is_gone {
             self.engines.remove(upstream);
             return;
--- a/crates/core/src/invariant.rs
+++ b/crates/core/src/invariant.rs
@@ -50,7 +50,10 @@
     ///
     /// Where a lower tier still holds work that could make room.
     pub fn shed(&self, request: id::Request, rank: u8, lower_could_make_room: bool) {
-        assert!(!lower_could_make_room, "request {request} of rank {rank} was shed before a lower tier");
+        assert!(
+            !lower_could_make_room,
+            "request {request} of rank {rank} was shed before a lower tier"
+        );
     }
 
     /// Checks that the configuration only moves up.
@@ -59,7 +62,11 @@
     ///
     /// Where it would move down.
     pub fn configure(&mut self, version: Version) {
-        assert!(version >= self.version, "configuration {} would revert to {version}", self.version);
+        assert!(
+            version >= self.version,
+            "configuration {} would revert to {version}",
+            self.version
+        );
         self.version = version;
     }
 }
--- a/crates/core/src/language.rs
+++ b/crates/core/src/language.rs
@@ -307,12 +307,9 @@
 }
 
 fn target(input: &mut &str) -> ModalResult<Target> {
-    alt((
-        keyword("instance").value(Target::Instance),
-        keyword("upstream").value(Target::Upstream),
-    ))
-    .context(expected("instance or upstream"))
-    .parse_next(input)
+    alt((keyword("instance").value(Target::Instance), keyword("upstream").value(Target::Upstream)))
+        .context(expected("instance or upstream"))
+        .parse_next(input)
 }
 
 fn entry(input: &mut &str) -> ModalResult<Entry> {
@@ -373,10 +370,7 @@
     alt((drain, change)).parse_next(input)
 }
 
-fn parse<T>(
-    sentence: &str,
-    parser: impl FnMut(&mut &str) -> ModalResult<T>,
-) -> Result<T, Error> {
+fn parse<T>(sentence: &str, parser: impl FnMut(&mut &str) -> ModalResult<T>) -> Result<T, Error> {
     let blanks = repeat::<_, _, (), _, _>(0.., ' ');
     let mut whole = delimited(multispace0, parser, blanks);
     whole.parse(sentence).map_err(|e| {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! what is to be done.
 
 pub mod actor;
+pub mod change;
 pub mod claim;
 pub mod config;
 pub mod engine;
@@ -17,5 +18,6 @@
 pub mod outcome;
 pub mod queue;
 pub mod request;
+pub mod resume;
 pub mod timeline;
 pub mod unit;
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -6,6 +6,7 @@
 use crate::config;
 use crate::engine::Place;
 use crate::id;
+use crate::queue::spread;
 use crate::timeline::Stamp;
 
 /// How often an instance tells its peers how it is.
@@ -203,3 +204,36 @@
         Place { index: before.len(), members: before.len() + after.len() + 1 }
     }
 }
+
+/// How many instances of each other zone an instance talks to.
+pub const FOREIGN_PEERS: usize = 2;
+
+/// The instances that one talks to: all of its own zone, and a few of each
+/// other zone, which differ from instance to instance.
+///
+/// ```
+/// use rosemarypond_core::member::select;
+/// let (a1, b1) = (("a1".parse()?, "a".parse()?), ("b1".parse()?, "b".parse()?));
+/// let list = [a1.clone(), b1.clone()];
+/// let peers = select(&a1.0, &a1.1, &list, |l| (&l.0, &l.1));
+/// assert_eq!(peers, [&b1]);
+/// # Ok::<(), rosemarypond_core::id::Error>(())
+/// ```
+pub fn select<'a, T>(
+    own: &id::Instance,
+    zone: &id::Zone,
+    list: &'a [T],
+    key: impl Fn(&T) -> (&id::Instance, &id::Zone),
+) -> Vec<&'a T> {
+    let others = list.iter().filter(|entry| key(entry).0 != own);
+    let (mut peers, foreign): (Vec<_>, Vec<_>) = others.partition(|entry| key(entry).1 == zone);
+    let mut zones: BTreeMap<id::Zone, Vec<&T>> = BTreeMap::new();
+    for entry in foreign {
+        zones.entry(key(entry).1.clone()).or_default().push(entry);
+    }
+    for mut foreign in zones.into_values() {
+        foreign.sort_by_cached_key(|entry| spread((own, key(entry).0)));
+        peers.extend(foreign.into_iter().take(FOREIGN_PEERS));
+    }
+    peers
+}
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -155,10 +155,10 @@
         let request = self.remove(request)?;
         let level = self.levels.get_mut(&request.rank)?;
         let flow = Flow::of(&request);
-        level.flows.entry(flow.clone()).or_insert_with(|| Backlog {
-            finish: level.clock,
-            waiting: VecDeque::new(),
-        });
+        level
+            .flows
+            .entry(flow.clone())
+            .or_insert_with(|| Backlog { finish: level.clock, waiting: VecDeque::new() });
         level.charge(&flow, cost);
         Some(request)
     }
--- /dev/null
+++ b/crates/ctl/src/cli.rs
@@ -0,0 +1,112 @@
+//! The command line of the operators' client.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::client::Error;
+
+/// The environment variable that holds the operator's credential.
+pub const CREDENTIAL_VARIABLE: &str = "ROSEMARYPOND_CREDENTIAL";
+
+/// What is to be done.
+pub enum Action {
+    /// Sends a sentence to an instance.
+    Ask {
+        /// The path that takes it.
+        path: &'static str,
+        /// The sentence.
+        sentence: String,
+    },
+    /// Puts the first configuration into the platform's table.
+    Init {
+        /// Where the platform is.
+        platform: SocketAddr,
+        /// The configuration, in JSON with comments.
+        file: PathBuf,
+    },
+}
+
+/// What the command line asks for.
+pub struct Options {
+    /// The instance that is asked.
+    pub to: String,
+    /// The operator's credential.
+    pub credential: String,
+    /// Whether the answer is printed as JSON.
+    pub json: bool,
+    /// What is to be done.
+    pub action: Action,
+}
+
+/// The arguments that are understood.
+pub fn command() -> Command {
+    let sentence = || Arg::new("sentence").required(true).value_name("SENTENCE");
+    let address = || value_parser!(SocketAddr);
+    Command::new("rosemarypondctl")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Asks and steers rosemarypond's entry instances")
+        .after_help(format!("The operator's credential is taken from {CREDENTIAL_VARIABLE}."))
+        .subcommand_required(true)
+        .arg(
+            Arg::new("to")
+                .long("to")
+                .value_name("ADDRESS")
+                .value_parser(address())
+                .help("The HTTP address of an instance"),
+        )
+        .arg(
+            Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print JSON for programs"),
+        )
+        .subcommand(
+            Command::new("query")
+                .about("Ask: show|count TABLE [where F = V [and …]] [order by F [desc]] [limit N] [over instance|zone|all]")
+                .arg(sentence()),
+        )
+        .subcommand(
+            Command::new("command")
+                .about("Steer: drain|undrain instance|upstream ID; [dry run] [if version N] set|add|remove tier|team|rule|upstream …")
+                .arg(sentence()),
+        )
+        .subcommand(
+            Command::new("init")
+                .about("Put the first configuration into the platform's table")
+                .arg(Arg::new("platform").long("platform").required(true).value_parser(address()))
+                .arg(Arg::new("file").required(true).value_parser(value_parser!(PathBuf))),
+        )
+}
+
+impl Options {
+    /// Validates what was given.
+    ///
+    /// # Errors
+    ///
+    /// Where an argument or the credential is missing.
+    pub fn from_matches(matches: &ArgMatches) -> Result<Self, Error> {
+        let action = match matches.subcommand() {
+            Some(("init", sub)) => Action::Init {
+                platform: *sub.get_one("platform").expect("the argument is required"),
+                file: sub.get_one::<PathBuf>("file").expect("the argument is required").clone(),
+            },
+            Some((name, sub)) => Action::Ask {
+                path: if name == "query" { "/operator/query" } else { "/operator/command" },
+                sentence: sub.get_one::<String>("sentence").expect("it is required").clone(),
+            },
+            None => return Err(Error::Usage("A subcommand is needed.".into())),
+        };
+        let to = matches.get_one::<SocketAddr>("to").map(SocketAddr::to_string);
+        let credential = std::env::var(CREDENTIAL_VARIABLE).unwrap_or_default();
+        if matches!(action, Action::Ask { .. }) {
+            if to.is_none() {
+                return Err(Error::Usage("The argument '--to ADDRESS' is needed.".into()));
+            }
+            if credential.is_empty() {
+                let message = format!("The variable {CREDENTIAL_VARIABLE} is not set.");
+                return Err(Error::Usage(message));
+            }
+        }
+        let json = matches.get_flag("json");
+        Ok(Self { to: to.unwrap_or_default(), credential, json, action })
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/init.rs
@@ -0,0 +1,34 @@
+//! Puts the first configuration into the platform's table.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use rosemarypond::platform::Client;
+use rosemarypond_core::config::{Document, Version};
+
+use crate::client::Error;
+
+/// Reads, checks and stores a configuration where there is none yet.
+///
+/// # Errors
+///
+/// Where the file is wrong, there is a configuration, or no answer came.
+pub fn init(platform: SocketAddr, file: &Path) -> Result<Version, Error> {
+    let wrong = |e: &dyn std::fmt::Display| Error::Usage(format!("{}: {e}", file.display()));
+    let text = std::fs::read_to_string(file).map_err(|e| wrong(&e))?;
+    let mut plain = String::new();
+    json_comments::StripComments::new(text.as_bytes())
+        .read_to_string(&mut plain)
+        .map_err(|e| wrong(&e))?;
+    let document = Document::parse(plain).map_err(|e| wrong(&e))?;
+    let client = Client::new(platform);
+    let stored = client.put_config(Version::default(), &document, "init", rand::random());
+    stored.map_err(|e| match e {
+        rosemarypond::platform::Error::Conflict(version) => Error::Refused {
+            status: 409,
+            message: format!("Version {version} is in force already."),
+        },
+        other => Error::Connection(other.to_string()),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/intake.rs
@@ -0,0 +1,178 @@
+//! From an HTTP request to what the scheduler needs to know of it.
+
+use std::io::Read;
+use std::time::{Duration, Instant};
+
+use rosemarypond_core::config::{Document, Kind, Rule, Team};
+use rosemarypond_core::engine::BLOCK_TOKENS;
+use rosemarypond_core::id;
+use rosemarypond_core::queue::spread;
+use rosemarypond_core::request::{Key, Repeat, Request};
+use rosemarypond_core::unit::Tokens;
+use serde_json::Value;
+
+use super::{MAX_URL_BYTES, Problem, credential, header};
+use crate::upstream::Call;
+
+/// The longest accepted idempotency key, in bytes.
+pub const MAX_KEY_BYTES: usize = 255;
+/// How many bytes of text are taken for one token.
+const BYTES_PER_TOKEN: usize = 4;
+/// How many prefix digests a request carries at most.
+const MAX_BLOCKS: usize = 64;
+/// How long past its deadline a call may run before it is cut off.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// A request on both sides of the border.
+pub struct Intake {
+    /// What the scheduler needs to know.
+    pub request: Request,
+    /// What the upstream is sent.
+    pub call: Call,
+}
+
+/// Reads and classifies a request.
+///
+/// # Errors
+///
+/// Gives the problem that the caller is to be told.
+pub fn read(
+    http: &mut tiny_http::Request,
+    id: id::Request,
+    document: &Document,
+    max_body: u64,
+) -> Result<Intake, Problem> {
+    if http.url().len() > MAX_URL_BYTES {
+        return Err(Problem::bad(414, format!("The URL is longer than {MAX_URL_BYTES} bytes.")));
+    }
+    let team = team_of(http, document)?;
+    let path = http.url().split('?').next().unwrap_or_default();
+    let no_rule = || Problem::bad(404, format!("No rule covers the path '{path}'."));
+    let rule = document.rule(path).ok_or_else(no_rule)?;
+    let key = key_of(http)?;
+    let body = body_of(http, max_body)?;
+    let repeat = repeat_of(http, rule, team, key.as_deref(), &body);
+    let tier_id = rule.tier.as_ref().unwrap_or(&team.tier);
+    let rank = document.rank(tier_id).expect("a checked document names only its tiers");
+    let tier = &document.tiers[usize::from(rank)];
+    let is_engine = |u: &&rosemarypond_core::config::Upstream| {
+        u.service == rule.service && u.kind == Kind::Engine
+    };
+    let shape = if document.upstreams.iter().any(|u| is_engine(&u)) {
+        Shape::of_prompt(&body)?
+    } else {
+        Shape::default()
+    };
+    let now = Instant::now();
+    let request = Request {
+        id,
+        team: team.id.clone(),
+        rank,
+        service: rule.service.clone(),
+        repeat: repeat.clone(),
+        refused: rule.refused,
+        prompt: shape.prompt,
+        prefix: shape.prefix,
+        max_answer: shape.max_answer,
+        arrived: now,
+        deadline: now + tier.deadline(),
+    };
+    let call = Call {
+        id,
+        method: http.method().to_string(),
+        path: http.url().to_owned(),
+        content_type: header(http, "Content-Type"),
+        key: key.map(|key| format!("\"{key}\"")),
+        body,
+        streams: shape.streams,
+        repeat,
+        limit: tier.deadline() + GRACE,
+    };
+    Ok(Intake { request, call })
+}
+
+/// The team whose credential a caller presents.
+///
+/// # Errors
+///
+/// Where there is none or it is not known.
+pub fn team_of<'a>(http: &tiny_http::Request, document: &'a Document) -> Result<&'a Team, Problem> {
+    let unknown = || Problem::bad(401, "A known credential is needed: 'Authorization: Bearer …'.");
+    let credential = credential(http).ok_or_else(unknown)?;
+    document.team(credential).ok_or_else(unknown)
+}
+
+fn key_of(http: &tiny_http::Request) -> Result<Option<String>, Problem> {
+    let Some(value) = header(http, "Idempotency-Key") else { return Ok(None) };
+    let trimmed = value.trim();
+    let key = trimmed.strip_prefix('"').and_then(|v| v.strip_suffix('"')).unwrap_or(trimmed);
+    let printable = key.chars().all(|c| c.is_ascii_graphic() && c != '"' && c != '\\');
+    if key.is_empty() || key.len() > MAX_KEY_BYTES || !printable {
+        let expected = "1 to 255 printable ASCII characters without blanks, '\"' and '\\'";
+        return Err(Problem::bad(400, format!("The Idempotency-Key needs {expected}.")));
+    }
+    Ok(Some(key.to_owned()))
+}
+
+fn body_of(http: &mut tiny_http::Request, max_body: u64) -> Result<Vec<u8>, Problem> {
+    let too_long = || Problem::bad(413, format!("The body is longer than {max_body} bytes."));
+    if http.body_length().is_some_and(|length| length as u64 > max_body) {
+        return Err(too_long());
+    }
+    let mut body = Vec::new();
+    let read = http.as_reader().take(max_body + 1).read_to_end(&mut body);
+    read.map_err(|e| Problem::bad(400, format!("The body broke off: {e}.")))?;
+    if body.len() as u64 > max_body { Err(too_long()) } else { Ok(body) }
+}
+
+fn repeat_of(
+    http: &tiny_http::Request,
+    rule: &Rule,
+    team: &Team,
+    key: Option<&str>,
+    body: &[u8],
+) -> Repeat {
+    let is_safe = matches!(http.method().as_str(), "GET" | "HEAD");
+    if rule.idempotent.unwrap_or(is_safe) {
+        return Repeat::Idempotent;
+    }
+    let Some(key) = key else { return Repeat::Once };
+    let fingerprint = spread((http.method().as_str(), http.url(), body));
+    Repeat::Keyed(Key { team: team.id.clone(), text: key.to_owned(), fingerprint })
+}
+
+#[derive(Default)]
+struct Shape {
+    prompt: Tokens,
+    prefix: Vec<u64>,
+    max_answer: Option<Tokens>,
+    streams: bool,
+}
+
+impl Shape {
+    fn of_prompt(body: &[u8]) -> Result<Self, Problem> {
+        let wrong =
+            |what: &str| Problem::bad(400, format!("The body is no model request: {what}."));
+        let value: Value = serde_json::from_slice(body).map_err(|e| wrong(&e.to_string()))?;
+        let messages =
+            value["messages"].as_array().ok_or_else(|| wrong("'messages' is missing"))?;
+        let text: String = messages.iter().map(Value::to_string).collect();
+        let max = value["max_tokens"].as_u64().or(value["max_completion_tokens"].as_u64());
+        Ok(Self {
+            prompt: Tokens((text.len() / BYTES_PER_TOKEN) as u32),
+            prefix: prefix_digests(text.as_bytes()),
+            max_answer: max.map(|m| Tokens(m.min(u64::from(u32::MAX)) as u32)),
+            streams: value["stream"].as_bool().unwrap_or(false),
+        })
+    }
+}
+
+/// A digest for each leading run of whole blocks.
+fn prefix_digests(text: &[u8]) -> Vec<u64> {
+    let block = BLOCK_TOKENS as usize * BYTES_PER_TOKEN;
+    let chain = |digest: &mut u64, block: &[u8]| {
+        *digest = spread((*digest, block));
+        Some(*digest)
+    };
+    text.chunks_exact(block).take(MAX_BLOCKS).scan(0, chain).collect()
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,14 @@
-//! x
+//! The entry daemon: input and output around the decisions of
+//! `rosemarypond-core`.
+
+pub mod cli;
+pub mod daemon;
+pub mod gateway;
+pub mod log;
+pub mod metrics;
+pub mod operate;
+pub mod peer;
+pub mod platform;
+pub mod runtime;
+pub mod settings;
+pub mod upstream;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,1 +1,30 @@
-fn main(){}
+//! The entry daemon of the rosemarypond request scheduler.
+
+use std::process::ExitCode;
+
+use rosemarypond::{cli, daemon, log, settings};
+
+/// The exit status for settings or arguments that are wrong.
+const EXIT_USAGE: u8 = 2;
+
+fn run() -> eyre::Result<()> {
+    let options = cli::Options::from_matches(&cli::command().get_matches())?;
+    let settings = settings::Settings::load(&options.settings)?;
+    if options.only_check {
+        println!("{} is right.", options.settings.display());
+        return Ok(());
+    }
+    let logger = log::logger(options.log);
+    daemon::Daemon::start(settings, logger)?.run_until_drained()
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("Error: {e:#}");
+            let is_usage = e.is::<settings::Error>() || e.is::<cli::Error>();
+            ExitCode::from(if is_usage { EXIT_USAGE } else { 1 })
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,150 @@
+//! Counters and gauges in the text format that Prometheus reads.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use rosemarypond_core::instance::{Counters, Instance};
+
+use crate::peer::Traffic;
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Tier {
+    tier: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Refused {
+    tier: String,
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Upstream {
+    upstream: String,
+}
+
+/// What is known of an instance at one moment.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    tiers: Vec<String>,
+    counters: Counters,
+    version: u64,
+    waiting: usize,
+    held: usize,
+    peers: usize,
+    running: Vec<(String, u32)>,
+}
+
+impl Snapshot {
+    /// Looks at an instance.
+    pub fn of(instance: &Instance) -> Self {
+        let (version, document) = instance.config();
+        let running = |e: &rosemarypond_core::engine::Engine| (e.entry.id.to_string(), e.running);
+        Self {
+            tiers: document.tiers.iter().map(|t| t.id.to_string()).collect(),
+            counters: instance.counters().clone(),
+            version: version.0,
+            waiting: instance.waiting_count(),
+            held: instance.held_count(),
+            peers: instance.members().iter().count(),
+            running: instance.engines().map(running).collect(),
+        }
+    }
+
+    fn tier(&self, rank: u8) -> String {
+        let known = self.tiers.get(usize::from(rank)).cloned();
+        known.unwrap_or_else(|| format!("rank-{rank}"))
+    }
+}
+
+/// The metrics as text.
+///
+/// # Errors
+///
+/// Where the text cannot be written.
+pub fn encode(snapshot: &Snapshot, traffic: &Traffic) -> Result<String, fmt::Error> {
+    let mut registry = Registry::with_prefix("rosemarypond");
+    add_tiers(&mut registry, snapshot);
+    add_refusals(&mut registry, snapshot);
+    add_state(&mut registry, snapshot);
+    add_traffic(&mut registry, traffic);
+    let mut text = String::new();
+    text::encode(&mut text, &registry)?;
+    Ok(text)
+}
+
+fn counter(registry: &mut Registry, name: &str, help: &str, value: u64) {
+    let counter: Counter = Counter::default();
+    counter.inc_by(value);
+    registry.register(name, help, counter);
+}
+
+fn gauge(registry: &mut Registry, name: &str, help: &str, value: usize) {
+    let gauge: Gauge = Gauge::default();
+    gauge.set(value as i64);
+    registry.register(name, help, gauge);
+}
+
+fn add_tiers(registry: &mut Registry, snapshot: &Snapshot) {
+    let counters = &snapshot.counters;
+    let families = [
+        ("offered", "Requests that arrived", &counters.offered),
+        ("good", "Requests that were answered whole in time", &counters.good),
+        ("late", "Requests that were answered whole but late", &counters.late),
+    ];
+    for (name, help, counts) in families {
+        let family = Family::<Tier, Counter>::default();
+        for (rank, count) in counts {
+            family.get_or_create(&Tier { tier: snapshot.tier(*rank) }).inc_by(*count);
+        }
+        registry.register(name, help, family);
+    }
+}
+
+fn add_refusals(registry: &mut Registry, snapshot: &Snapshot) {
+    let family = Family::<Refused, Counter>::default();
+    for ((rank, outcome, reason), count) in &snapshot.counters.refused {
+        let labels = Refused {
+            tier: snapshot.tier(*rank),
+            outcome: outcome.as_str(),
+            reason: reason.as_str(),
+        };
+        family.get_or_create(&labels).inc_by(*count);
+    }
+    registry.register("refused", "Requests that were refused", family);
+}
+
+fn add_state(registry: &mut Registry, snapshot: &Snapshot) {
+    let counters = &snapshot.counters;
+    counter(registry, "prefill_tokens", "Prompt tokens to be processed", counters.prefill);
+    let help = "Prompt tokens of requests without a whole answer";
+    counter(registry, "wasted_prefill_tokens", help, counters.wasted_prefill);
+    gauge(registry, "config_version", "Configuration in force", snapshot.version as usize);
+    gauge(registry, "waiting", "Requests that wait", snapshot.waiting);
+    gauge(registry, "held", "Requests that are held", snapshot.held);
+    gauge(registry, "peers", "Peers that are heard", snapshot.peers);
+    let family = Family::<Upstream, Gauge>::default();
+    for (upstream, running) in &snapshot.running {
+        let labels = Upstream { upstream: upstream.clone() };
+        family.get_or_create(&labels).set(i64::from(*running));
+    }
+    registry.register("running", "Requests of this instance that run", family);
+}
+
+fn add_traffic(registry: &mut Registry, traffic: &Traffic) {
+    let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+    counter(registry, "peer_sent_frames", "Frames sent", read(&traffic.sent_frames));
+    counter(registry, "peer_sent_bytes", "Bytes sent to peers", read(&traffic.sent_bytes));
+    let help = "Frames received from peers";
+    counter(registry, "peer_received_frames", help, read(&traffic.received_frames));
+    let help = "Bytes received from peers";
+    counter(registry, "peer_received_bytes", help, read(&traffic.received_bytes));
+    let help = "Frames that a peer did not take";
+    counter(registry, "peer_dropped_frames", help, read(&traffic.dropped_frames));
+}
--- /dev/null
+++ b/crates/daemon/src/operate/query.rs
@@ -0,0 +1,285 @@
+//! Queries over one instance, a zone or all that can be reached.
+
+use std::cmp::Ordering;
+use std::thread;
+
+use rosemarypond_core::instance::{Instance, RowStage};
+use rosemarypond_core::language::{Comparison, Filter, Query, Scope, Table};
+use rosemarypond_core::timeline::Stamp;
+use serde_json::{Map, Value, json};
+
+use super::{Operate, Operator, Outcome};
+use crate::platform::Listed;
+
+/// The most rows that one instance gives.
+pub const MAX_ROWS: usize = 10_000;
+
+type Row = Map<String, Value>;
+
+fn columns(table: Table) -> &'static [&'static str] {
+    match table {
+        Table::Requests | Table::Waiting | Table::Running => &[
+            "instance", "zone", "request", "stage", "tier", "team", "service", "upstream", "age_ms",
+        ],
+        Table::Refused => &["instance", "zone", "tier", "outcome", "reason", "count"],
+        Table::Tiers => &["instance", "zone", "tier", "offered", "good", "late"],
+        Table::Upstreams => &[
+            "instance", "zone", "upstream", "service", "state", "running", "limit", "lent",
+            "borrowed",
+        ],
+        Table::Members => {
+            &["instance", "zone", "member", "member_zone", "config", "draining", "heard_ms"]
+        }
+        Table::Config => &["instance", "zone", "version", "draining"],
+        Table::Timeline => &["stamp", "instance", "zone", "subject", "event"],
+    }
+}
+
+impl Operate {
+    pub(super) fn query(
+        &self,
+        operator: &Operator,
+        sentence: &str,
+        query: Query,
+        only_here: bool,
+    ) -> Outcome {
+        let known = columns(query.table);
+        let named =
+            query.filters.iter().map(|f| &f.field).chain(query.order.iter().map(|o| &o.field));
+        if let Some(unknown) = { named }.find(|field| !known.contains(&field.as_str())) {
+            let message =
+                format!("There is no field '{unknown}'; expected one of {}.", known.join(", "));
+            return Outcome::error(400, message);
+        }
+        let mut rows = self.own_rows(&query);
+        let mut silent = Vec::new();
+        if !only_here && query.scope != Scope::Instance {
+            let (more, missing) = self.rows_of_others(operator, sentence, query.scope);
+            rows.extend(more);
+            silent = missing;
+        }
+        if only_here {
+            return Outcome::ok(json!({ "rows": rows }));
+        }
+        let rows = refine(rows, &query);
+        let count = rows.len();
+        let rows = if query.count { Vec::new() } else { rows };
+        Outcome::ok(json!({ "columns": known, "rows": rows, "count": count, "silent": silent }))
+    }
+
+    fn own_rows(&self, query: &Query) -> Vec<Row> {
+        let (table, own) = (query.table, self.own.clone());
+        let rows = self.handle.ask(move |instance, now| rows_of(instance, now, table, &own));
+        rows.unwrap_or_default()
+    }
+
+    fn rows_of_others(
+        &self,
+        operator: &Operator,
+        sentence: &str,
+        scope: Scope,
+    ) -> (Vec<Row>, Vec<String>) {
+        let in_scope = |l: &Listed| scope == Scope::All || l.zone == self.own.zone;
+        let others: Vec<_> = self.others().into_iter().filter(in_scope).collect();
+        let ask = |to: &Listed| {
+            let outcome = self.forward(operator, to, "/operator/query?here", sentence)?;
+            let rows = outcome.body.get("rows")?.clone();
+            serde_json::from_value::<Vec<Row>>(rows).ok()
+        };
+        let answers: Vec<_> = thread::scope(|scope| {
+            let asked: Vec<_> = others.iter().map(|to| scope.spawn(move || ask(to))).collect();
+            asked.into_iter().map(|thread| thread.join().ok().flatten()).collect()
+        });
+        let mut rows = Vec::new();
+        let mut silent = Vec::new();
+        for (to, answer) in others.iter().zip(answers) {
+            match answer {
+                Some(more) => rows.extend(more),
+                None => silent.push(to.instance.to_string()),
+            }
+        }
+        (rows, silent)
+    }
+}
+
+fn rows_of(instance: &Instance, now: std::time::Instant, table: Table, own: &Listed) -> Vec<Row> {
+    let rows = match table {
+        Table::Requests => request_rows(instance, now, None),
+        Table::Waiting => request_rows(instance, now, Some(RowStage::Waiting)),
+        Table::Running => request_rows(instance, now, Some(RowStage::Running)),
+        Table::Refused => refused_rows(instance),
+        Table::Tiers => tier_rows(instance),
+        Table::Upstreams => upstream_rows(instance, now),
+        Table::Members => member_rows(instance, now),
+        Table::Config => {
+            vec![json!({ "version": instance.config().0, "draining": instance.is_draining() })]
+        }
+        Table::Timeline => timeline_rows(instance),
+    };
+    let named = |mut row: Value| {
+        row["instance"] = json!(own.instance);
+        row["zone"] = json!(own.zone);
+        row.as_object().cloned().unwrap_or_default()
+    };
+    rows.into_iter().take(MAX_ROWS).map(named).collect()
+}
+
+fn tier_name(instance: &Instance, rank: u8) -> String {
+    let (_, document) = instance.config();
+    let tier = document.tiers.get(usize::from(rank));
+    tier.map_or_else(|| format!("rank-{rank}"), |t| t.id.to_string())
+}
+
+fn request_rows(
+    instance: &Instance,
+    now: std::time::Instant,
+    stage: Option<RowStage>,
+) -> Vec<Value> {
+    let rows = instance.rows(now).into_iter();
+    let wanted = rows.filter(|row| stage.is_none_or(|s| s == row.stage));
+    wanted
+        .map(|row| {
+            json!({
+                "request": row.request.to_string(),
+                "stage": match row.stage { RowStage::Waiting => "waiting", RowStage::Running => "running" },
+                "tier": tier_name(instance, row.rank),
+                "team": row.team,
+                "service": row.service,
+                "upstream": row.upstream,
+                "age_ms": row.age.as_millis() as u64,
+            })
+        })
+        .collect()
+}
+
+fn refused_rows(instance: &Instance) -> Vec<Value> {
+    let refused = instance.counters().refused.iter();
+    refused
+        .map(|((rank, outcome, reason), count)| {
+            json!({
+                "tier": tier_name(instance, *rank),
+                "outcome": outcome.as_str(),
+                "reason": reason.as_str(),
+                "count": count,
+            })
+        })
+        .collect()
+}
+
+fn tier_rows(instance: &Instance) -> Vec<Value> {
+    let counters = instance.counters();
+    let count = |counts: &std::collections::BTreeMap<u8, u64>, rank| {
+        counts.get(&rank).copied().unwrap_or(0)
+    };
+    let ranks = counters.offered.keys().copied();
+    ranks
+        .map(|rank| {
+            json!({
+                "tier": tier_name(instance, rank),
+                "offered": count(&counters.offered, rank),
+                "good": count(&counters.good, rank),
+                "late": count(&counters.late, rank),
+            })
+        })
+        .collect()
+}
+
+fn upstream_rows(instance: &Instance, now: std::time::Instant) -> Vec<Value> {
+    let state = |e: &rosemarypond_core::engine::Engine| match (
+        e.leaving || e.entry.leaving,
+        e.is_open(now),
+    ) {
+        (true, _) => "leaving",
+        (false, true) => "open",
+        (false, false) => "paused",
+    };
+    instance
+        .engines()
+        .map(|e| {
+            json!({
+                "upstream": e.entry.id,
+                "service": e.entry.service,
+                "state": state(e),
+                "running": e.running,
+                "limit": e.limit(),
+                "lent": e.lent,
+                "borrowed": e.borrowed,
+            })
+        })
+        .collect()
+}
+
+fn member_rows(instance: &Instance, now: std::time::Instant) -> Vec<Value> {
+    let peers = instance.members().iter();
+    peers
+        .map(|(id, peer)| {
+            json!({
+                "member": id,
+                "member_zone": peer.zone,
+                "config": peer.heartbeat.config,
+                "draining": peer.heartbeat.draining,
+                "heard_ms": now.saturating_duration_since(peer.heard).as_millis() as u64,
+            })
+        })
+        .collect()
+}
+
+fn timeline_rows(instance: &Instance) -> Vec<Value> {
+    let ring = instance.ring();
+    let row = |event: &rosemarypond_core::timeline::Event| {
+        json!({
+            "stamp": event.stamp.to_string(),
+            "subject": event.subject.to_string(),
+            "event": event.what,
+        })
+    };
+    let first = ring.iter().next().map(|event| event.stamp.to_string());
+    let gap = (ring.dropped() > 0).then(|| {
+        let what = format!("{} earlier events were dropped", ring.dropped());
+        json!({ "stamp": first, "subject": "gap", "event": what })
+    });
+    gap.into_iter().chain(ring.iter().map(row)).collect()
+}
+
+fn refine(mut rows: Vec<Row>, query: &Query) -> Vec<Row> {
+    rows.retain(|row| query.filters.iter().all(|filter| passes(row, filter)));
+    if let Some(order) = &query.order {
+        rows.sort_by(|a, b| compare(a.get(&order.field), b.get(&order.field)));
+        if order.descending {
+            rows.reverse();
+        }
+    } else if query.table == Table::Timeline {
+        rows.sort_by_key(stamp_of);
+    }
+    rows.truncate(query.limit.unwrap_or(usize::MAX));
+    rows
+}
+
+fn stamp_of(row: &Row) -> Stamp {
+    let text = row.get("stamp").and_then(Value::as_str).unwrap_or_default();
+    text.parse().unwrap_or_default()
+}
+
+fn passes(row: &Row, filter: &Filter) -> bool {
+    let found = row.get(&filter.field);
+    let text = match found {
+        Some(Value::String(text)) => text.clone(),
+        Some(value) => value.to_string(),
+        None => String::new(),
+    };
+    let numbers = || Some((text.parse::<f64>().ok()?, filter.value.parse::<f64>().ok()?));
+    match filter.comparison {
+        Comparison::Is => text == filter.value,
+        Comparison::IsNot => text != filter.value,
+        Comparison::Above => numbers().is_some_and(|(found, value)| found > value),
+        Comparison::Below => numbers().is_some_and(|(found, value)| found < value),
+    }
+}
+
+fn compare(a: Option<&Value>, b: Option<&Value>) -> Ordering {
+    let number = |value: Option<&Value>| value.and_then(Value::as_f64);
+    match (number(a), number(b)) {
+        (Some(a), Some(b)) => a.total_cmp(&b),
+        _ => a.map(Value::to_string).cmp(&b.map(Value::to_string)),
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/path.rs
@@ -0,0 +1,90 @@
+//! The whole path over real processes: one request end to end.
+
+mod support;
+
+use support::{OTHER_TEAM, Site, TEAM, complete, get, prompt, send};
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $body:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { $body })*
+    };
+}
+
+fn streams_a_whole_answer() {
+    let site = Site::start(&["accra-a"]);
+    let answer = complete(site.daemons[0].http, TEAM, &prompt("In memory of Efua", 8, true));
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body.matches("data: {").count(), 8);
+    assert!(answer.body.ends_with("data: [DONE]\n\n"), "{}", answer.body);
+    assert!(answer.header("x-request-id").is_some());
+}
+
+fn passes_a_whole_answer_on() {
+    let site = Site::start(&["accra-b"]);
+    let answer = complete(site.daemons[0].http, TEAM, &prompt("In memory of Efua", 4, false));
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.json()["choices"][0]["message"]["content"], "In memory of Efua");
+}
+
+fn runs_a_keyed_order_once_over_two_zones() {
+    let site = Site::start(&["accra-a", "accra-b"]);
+    let first = site.order(0, "order-1").expect("an answer");
+    assert_eq!(first.status, 200);
+    site.wait_until("the retry gets the kept answer", |site| {
+        site.order(1, "order-1").is_some_and(|a| a.status == 200 && a.body == first.body)
+    });
+    assert_eq!(site.runs("order-1"), 1);
+}
+
+fn refuses_a_key_with_another_body() {
+    let site = Site::start(&["accra-a"]);
+    assert_eq!(site.order(0, "order-2").expect("an answer").status, 200);
+    let bearer = format!("Bearer {TEAM}");
+    let headers = [("Authorization", bearer.as_str()), ("Idempotency-Key", "order-2")];
+    let other = send("POST", site.daemons[0].http, "/orders/new", &headers, "{}");
+    let other = other.expect("an answer");
+    assert_eq!((other.status, other.outcome().as_str()), (422, "unknown"));
+    assert_eq!(site.runs("order-2"), 1);
+}
+
+fn keeps_the_keys_of_teams_apart() {
+    let site = Site::start(&["accra-a"]);
+    assert_eq!(site.order(0, "order-3").expect("an answer").status, 200);
+    let bearer = format!("Bearer {OTHER_TEAM}");
+    let headers = [("Authorization", bearer.as_str()), ("Idempotency-Key", "order-3")];
+    let other = send("POST", site.daemons[0].http, "/orders/new", &headers, "{}");
+    assert_eq!(other.expect("an answer").status, 200);
+    assert_eq!(site.runs("order-3"), 2);
+}
+
+fn refuses_unknown_credentials_and_paths() {
+    let site = Site::start(&["accra-a"]);
+    let to = site.daemons[0].http;
+    assert_eq!(get(to, "/orders/1", Some("guess")).expect("an answer").status, 401);
+    let lost = get(to, "/nowhere", Some(TEAM)).expect("an answer");
+    assert_eq!((lost.status, lost.outcome().as_str()), (404, "not-run"));
+    let wrong = complete(to, TEAM, "{").expect("an answer");
+    assert_eq!((wrong.status, wrong.outcome().as_str()), (400, "not-run"));
+}
+
+fn answers_operators_and_monitors() {
+    let site = Site::start(&["accra-a", "accra-b"]);
+    let counted = |site: &Site| site.operate(0, "/operator/query", "count config").json();
+    site.wait_until("both instances answer", |site| counted(site)["count"] == 2);
+    let wrong = site.operate(0, "/operator/query", "show widows");
+    assert_eq!(wrong.status, 400);
+    assert!(wrong.body.contains("column 6"), "{}", wrong.body);
+    let metrics = get(site.daemons[0].http, "/metrics", None).expect("an answer").body;
+    assert!(metrics.contains("rosemarypond_config_version 1"), "{metrics}");
+}
+
+cases! {
+    streamed => streams_a_whole_answer();
+    whole => passes_a_whole_answer_on();
+    keyed_once => runs_a_keyed_order_once_over_two_zones();
+    key_reused => refuses_a_key_with_another_body();
+    key_of_another_team => keeps_the_keys_of_teams_apart();
+    refusals_of_bad_requests => refuses_unknown_credentials_and_paths();
+    operators => answers_operators_and_monitors();
+}
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,307 @@
+//! Real daemons and stand-ins as processes of their own.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rosemarypond_core::config::digest;
+use serde_json::{Value, json};
+
+/// The longest that a test waits for something that has to happen.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+pub const TEAM: &str = "osei-secret";
+pub const OTHER_TEAM: &str = "council-secret";
+pub const OPERATOR: &str = "operator-secret";
+
+/// A process that is ended with its test.
+pub struct Process {
+    child: Child,
+    pub line: String,
+}
+
+impl Process {
+    fn start(mut command: Command) -> Self {
+        let mut child = command
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        let mut line = String::new();
+        let output = child.stdout.take().expect("the output is piped");
+        BufReader::new(output).read_line(&mut line).expect("the program prints its addresses");
+        Self { child, line: line.trim().to_owned() }
+    }
+
+    pub fn standin(kind: &str) -> Self {
+        let daemon = PathBuf::from(env!("CARGO_BIN_EXE_rosemarypond"));
+        let folder = daemon.parent().expect("a program lies in a folder");
+        let mut command = Command::new(folder.join("examples").join("standin"));
+        command.arg(kind);
+        Self::start(command)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.line.parse().expect("a stand-in prints its address")
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status =
+            Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("the child can be asked").is_some()
+    }
+
+    pub fn wait(&mut self) -> i32 {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the child can be asked") {
+                return status.code().unwrap_or(-1);
+            }
+            assert!(Instant::now() < end, "the process does not end");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Daemon {
+    pub process: Process,
+    pub http: SocketAddr,
+    pub peer: SocketAddr,
+}
+
+impl Daemon {
+    pub fn start(instance: &str, zone: &str, platform: SocketAddr) -> Self {
+        let path = std::env::temp_dir().join(format!(
+            "rosemarypond-{}-{}-{instance}.json",
+            std::process::id(),
+            platform.port()
+        ));
+        let text = format!(
+            r#"{{ "instance": "{instance}", "zone": "{zone}", "http": "127.0.0.1:0",
+                  "peer": "127.0.0.1:0", "platform": "{platform}", "poll": "100 ms" }}"#
+        );
+        let mut file = std::fs::File::create(&path).expect("the settings can be written");
+        file.write_all(text.as_bytes()).expect("the settings can be written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_rosemarypond"));
+        command.arg(&path);
+        let process = Process::start(command);
+        let words: Vec<_> = process.line.split(' ').map(str::to_owned).collect();
+        let address = |place: usize| words[place].parse().expect("a daemon prints its addresses");
+        Self { http: address(1), peer: address(3), process }
+    }
+
+    pub fn is_ready(&self) -> bool {
+        get(self.http, "/readyz", None).is_some_and(|answer| answer.status == 200)
+    }
+}
+
+pub struct Site {
+    pub platform: Process,
+    pub engines: Vec<Process>,
+    pub plains: Vec<Process>,
+    pub daemons: Vec<Daemon>,
+    pub document: Value,
+}
+
+/// Two zones, each with an engine and a plain service.
+pub const ZONES: [&str; 2] = ["accra-a", "accra-b"];
+
+impl Site {
+    /// Starts the stand-ins, and an instance for each named zone.
+    pub fn start(zones: &[&str]) -> Self {
+        let platform = Process::standin("platform");
+        let engines: Vec<_> = ZONES.iter().map(|_| Process::standin("engine")).collect();
+        let plains: Vec<_> = ZONES.iter().map(|_| Process::standin("plain")).collect();
+        let mut upstreams = Vec::new();
+        for (place, zone) in ZONES.iter().enumerate() {
+            let engine = engines[place].address();
+            let plain = plains[place].address();
+            upstreams.push(upstream(&format!("engine-{place}"), zone, engine, "engine"));
+            upstreams.push(upstream(&format!("orders-{place}"), zone, plain, "plain"));
+        }
+        let document = document(&upstreams);
+        let mut site = Self { platform, engines, plains, daemons: Vec::new(), document };
+        site.put_config(0);
+        for (place, zone) in zones.iter().enumerate() {
+            site.add(&format!("i{place}"), zone);
+        }
+        site.wait_until("all are ready", |site| site.daemons.iter().all(Daemon::is_ready));
+        site
+    }
+
+    pub fn add(&mut self, instance: &str, zone: &str) {
+        let daemon = Daemon::start(instance, zone, self.platform.address());
+        self.daemons.push(daemon);
+    }
+
+    /// Puts `document` in force over the version that stands.
+    pub fn put_config(&self, expected: u64) {
+        let platform = self.platform.address();
+        let row = format!("config/test-{expected}");
+        let put = |row: &str, expected, value: &Value| {
+            let path = format!("/table/{row}?expect={expected}");
+            let answer = send("PUT", platform, &path, &[], &value.to_string());
+            assert_eq!(answer.expect("the platform answers").status, 200);
+        };
+        put(&row, 0, &self.document);
+        put("config/head", expected, &json!({ "row": row, "operator": "test" }));
+    }
+
+    pub fn platform_faults(&self, faults: &Value) {
+        let answer = send("POST", self.platform.address(), "/control", &[], &faults.to_string());
+        assert_eq!(answer.expect("the platform answers").status, 200);
+    }
+
+    pub fn engine_behaviour(&self, place: usize, behaviour: &Value) {
+        let to = self.engines[place].address();
+        let answer = send("POST", to, "/control", &[], &behaviour.to_string());
+        assert_eq!(answer.expect("the engine answers").status, 200);
+    }
+
+    pub fn set_delay(&self, delay_ms: u64) {
+        for plain in &self.plains {
+            let _ = send("POST", plain.address(), &format!("/delay/{delay_ms}"), &[], "");
+        }
+    }
+
+    /// How often a key ran, over all services that are left.
+    pub fn runs(&self, key: &str) -> u64 {
+        let count = |plain: &Process| {
+            let answer = get(plain.address(), "/runs", None).expect("the service answers");
+            answer.json()[key].as_u64().unwrap_or(0)
+        };
+        self.plains.iter().map(count).sum()
+    }
+
+    pub fn wait_until(&self, what: &str, check: impl Fn(&Self) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !check(self) {
+            assert!(Instant::now() < end, "it does not come about that {what}");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    pub fn order(&self, place: usize, key: &str) -> Option<Answer> {
+        order_at(self.daemons[place].http, key)
+    }
+
+    pub fn operate(&self, place: usize, path: &str, sentence: &str) -> Answer {
+        let bearer = format!("Bearer {OPERATOR}");
+        let headers = [("Authorization", bearer.as_str())];
+        send("POST", self.daemons[place].http, path, &headers, sentence).expect("an answer")
+    }
+}
+
+pub fn order_at(to: SocketAddr, key: &str) -> Option<Answer> {
+    let bearer = format!("Bearer {TEAM}");
+    let headers = [("Authorization", bearer.as_str()), ("Idempotency-Key", key)];
+    send("POST", to, "/orders/new", &headers, r#"{"plaque":"Efua"}"#)
+}
+
+fn upstream(id: &str, zone: &str, address: SocketAddr, kind: &str) -> Value {
+    let service = if kind == "engine" { "scribe-llm" } else { "orders-app" };
+    json!({ "id": id, "zone": zone, "address": address, "kind": kind, "service": service, "slots": 4 })
+}
+
+fn document(upstreams: &[Value]) -> Value {
+    json!({
+        "tiers": [
+            { "id": "proof", "deadline_ms": 20_000 },
+            { "id": "status", "deadline_ms": 20_000 },
+        ],
+        "teams": [
+            { "id": "osei", "tier": "proof", "credential_sha256": digest(TEAM) },
+            { "id": "council", "tier": "status", "credential_sha256": digest(OTHER_TEAM) },
+        ],
+        "operators": [{ "id": "ama", "credential_sha256": digest(OPERATOR) }],
+        "rules": [
+            { "path_prefix": "/v1/chat/completions", "service": "scribe-llm", "idempotent": true },
+            { "path_prefix": "/orders", "service": "orders-app" },
+        ],
+        "upstreams": upstreams,
+        "resume_secret": "a secret of the test",
+    })
+}
+
+pub struct Answer {
+    pub status: u16,
+    pub headers: ureq::http::HeaderMap,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or(Value::Null)
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    pub fn outcome(&self) -> String {
+        self.json()["outcome"].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+pub fn get(to: SocketAddr, path: &str, credential: Option<&str>) -> Option<Answer> {
+    let bearer = credential.map(|c| format!("Bearer {c}"));
+    let headers: Vec<_> = bearer.iter().map(|b| ("Authorization", b.as_str())).collect();
+    send("GET", to, path, &headers, "")
+}
+
+/// One HTTP exchange over a connection of its own; none where it broke off.
+pub fn send(
+    method: &str,
+    to: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<Answer> {
+    let config = ureq::Agent::config_builder()
+        .timeout_global(Some(PATIENCE))
+        .http_status_as_error(false)
+        .max_idle_connections(0)
+        .proxy(None);
+    let agent: ureq::Agent = config.build().into();
+    let mut request =
+        ureq::http::Request::builder().method(method).uri(format!("http://{to}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(body.to_owned()).expect("a valid request");
+    let mut response = agent.run(request).ok()?;
+    let (status, headers) = (response.status().as_u16(), response.headers().clone());
+    let body = response.body_mut().read_to_string().ok()?;
+    Some(Answer { status, headers, body })
+}
+
+pub fn prompt(content: &str, tokens: u32, streams: bool) -> String {
+    json!({
+        "stream": streams,
+        "max_tokens": tokens,
+        "messages": [{ "role": "user", "content": content }],
+    })
+    .to_string()
+}
+
+pub fn complete(to: SocketAddr, credential: &str, body: &str) -> Option<Answer> {
+    let bearer = format!("Bearer {credential}");
+    send("POST", to, "/v1/chat/completions", &[("Authorization", bearer.as_str())], body)
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -41,8 +41,7 @@
 
 impl Default for Codec {
     fn default() -> Self {
-        let lengths =
-            LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+        let lengths = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
         Self { lengths }
     }
 }
