--- /dev/null
+++ b/crates/core/examples/load/report.rs
@@ -0,0 +1,129 @@
+//! The figures of a run, for people and for programs.
+
+use std::fmt::Write as _;
+
+use rosemarypond_core::engine::Sharing;
+use serde_json::{Value, json};
+
+use crate::scenario::Plan;
+use crate::support::balancer::Choice;
+use crate::support::tally::Tally;
+use crate::support::world::Policy;
+use crate::workload::DEADLINES_S;
+
+pub struct Run {
+    pub seed: u64,
+    pub tallies: Vec<(&'static str, Tally)>,
+}
+
+pub fn policies(sharing: bool) -> Vec<(&'static str, Policy)> {
+    if sharing {
+        return vec![
+            ("lent", Policy::Ours(Sharing::Lent)),
+            ("split", Policy::Ours(Sharing::Split)),
+            ("owned", Policy::Ours(Sharing::Owned)),
+            ("independent", Policy::Ours(Sharing::Independent)),
+        ];
+    }
+    vec![
+        ("rosemarypond", Policy::Ours(Sharing::Lent)),
+        ("round-robin", Policy::Baseline(Choice::RoundRobin)),
+        ("least-outstanding", Policy::Baseline(Choice::LeastOutstanding)),
+        ("all-knowing", Policy::Oracle),
+    ]
+}
+
+fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
+}
+
+fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    let (first, middle, last) =
+        (values[0], values[values.len() / 2], values[values.len() - 1]);
+    format!("{:6.2} [{:6.2} {:6.2}]", middle * 100.0, first * 100.0, last * 100.0)
+}
+
+/// A table with the median and the range over the seeds, in per cent.
+pub fn text(plan: &Plan, runs: &[Run]) -> String {
+    let mut text = format!(
+        "{} at {}: load {:.0} % of {:.2} requests/s, {} s, seeds {}..={}\n",
+        plan.name,
+        plan.site,
+        plan.load * 100.0,
+        plan.capacity(),
+        plan.seconds,
+        runs[0].seed,
+        runs[runs.len() - 1].seed,
+    );
+    text.push_str("policy             good of tier 0          tier 1                  tier 2");
+    text.push_str("                  all                     wasted prefill          first 50/95/99 % s\n");
+    for place in 0..runs[0].tallies.len() {
+        let (name, _) = runs[0].tallies[place];
+        let of = |figure: &dyn Fn(&Tally) -> f64| {
+            spread(runs.iter().map(|run| figure(&run.tallies[place].1)).collect())
+        };
+        write!(text, "{name:18}").expect("a string takes text");
+        for rank in 0..DEADLINES_S.len() as u8 {
+            write!(text, " {}", of(&|t| t.good_share(rank))).expect("a string takes text");
+        }
+        let all = of(&|t| share(Tally::total(&t.good), Tally::total(&t.offered)));
+        let wasted = of(&|t| share(t.wasted(), t.prefill));
+        let first = &runs[runs.len() / 2].tallies[place].1.first_token_us;
+        let at = |q| first.value_at_quantile(q) as f64 / 1e6;
+        writeln!(text, " {all} {wasted} {:.2}/{:.2}/{:.2}", at(0.5), at(0.95), at(0.99))
+            .expect("a string takes text");
+    }
+    text
+}
+
+/// One object; of several seeds, one a line.
+pub fn json(plan: &Plan, runs: &[Run]) -> String {
+    let lines = runs.iter().map(|run| {
+        let policies: Vec<_> = run.tallies.iter().map(|(name, t)| policy(name, t)).collect();
+        json!({
+            "scenario": plan.name,
+            "site": plan.site,
+            "load": plan.load,
+            "capacity_per_s": plan.capacity(),
+            "seconds": plan.seconds,
+            "seed": run.seed,
+            "policies": policies,
+        })
+        .to_string()
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+fn policy(name: &str, tally: &Tally) -> Value {
+    let tier = |rank: u8| {
+        let count = |counts: &std::collections::BTreeMap<u8, u64>| counts.get(&rank).copied().unwrap_or(0);
+        json!({
+            "tier": rank,
+            "offered": count(&tally.offered),
+            "good": count(&tally.good),
+            "refused": count(&tally.refused),
+        })
+    };
+    let quantiles = |h: &hdrhistogram::Histogram<u64>| {
+        json!([h.value_at_quantile(0.5), h.value_at_quantile(0.95), h.value_at_quantile(0.99)])
+    };
+    let reasons: Vec<_> = tally
+        .reasons
+        .iter()
+        .map(|((rank, outcome, reason), count)| {
+            json!({ "tier": rank, "outcome": outcome.as_str(), "reason": reason.as_str(), "count": count })
+        })
+        .collect();
+    json!({
+        "name": name,
+        "tiers": (0..DEADLINES_S.len() as u8).map(tier).collect::<Vec<_>>(),
+        "prefill_tokens": tally.prefill,
+        "wasted_prefill_tokens": tally.wasted(),
+        "cut_prefill_tokens": tally.cut_prefill,
+        "repeated_prefill_tokens": tally.repeated_prefill,
+        "first_token_us": quantiles(&tally.first_token_us),
+        "between_tokens_us": quantiles(&tally.gap_us),
+        "refusals": reasons,
+    })
+}
--- /dev/null
+++ b/crates/core/examples/load/scenario.rs
@@ -0,0 +1,134 @@
+//! Scenarios: what happens to the site while the load runs.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use stakker::Stakker;
+
+use crate::support::tally::Tally;
+use crate::support::world::{self, Policy, What, World};
+use crate::workload::{Mix, Site};
+
+pub const NAMES: [&str; 7] = [
+    "steady",
+    "burst",
+    "slow-engine",
+    "instance-death",
+    "zone-cut",
+    "long-and-short",
+    "prefix-heavy",
+];
+
+/// What is run.
+pub struct Plan {
+    pub name: String,
+    pub site: String,
+    /// The offered load as a share of the capacity.
+    pub load: f64,
+    pub seconds: u64,
+}
+
+const ARRIVAL: u64 = 0;
+const FAULT: u64 = 1;
+const REPAIR: u64 = 2;
+
+/// A burst is this much of the load, for a sixth of the time.
+const BURST: f64 = 3.0;
+const SLOWDOWN: f64 = 6.0;
+
+impl Plan {
+    pub fn mix(&self) -> Mix {
+        match self.name.as_str() {
+            "long-and-short" => Mix { long_share: 0.15, shared_prefix: 0.2 },
+            "prefix-heavy" => Mix { long_share: 0.05, shared_prefix: 0.8 },
+            _ => Mix { long_share: 0.05, shared_prefix: 0.2 },
+        }
+    }
+
+    pub fn capacity(&self) -> f64 {
+        Site::named(&self.site).capacity(self.mix())
+    }
+}
+
+/// Runs one scenario with one seed and policy.
+pub fn run(plan: &Plan, seed: u64, policy: Policy) -> Tally {
+    let start = Instant::now();
+    let site = Site::named(&plan.site);
+    let mut runtime = Stakker::new(start);
+    let mut world = World::new(start, seed, policy);
+    for (entry, speed) in site.engines() {
+        world.add_engine(&entry, speed);
+    }
+    world.put_config(site.document());
+    for zone in &site.zones {
+        for place in 0..site.instances_per_zone {
+            world.add_node(&format!("{zone}-{place}"), zone);
+        }
+    }
+    let length = Duration::from_secs(plan.seconds);
+    let rate = plan.capacity() * plan.load;
+    let (name, mix, service) = (plan.name.clone(), plan.mix(), site.service.clone());
+    world.set_hook(move |world, number| match number {
+        ARRIVAL => {
+            let since = world.now.duration_since(world.start);
+            if since >= length {
+                return;
+            }
+            arrive(world, mix, &service);
+            let rate = if in_burst(&name, since, length) { rate * BURST } else { rate };
+            let wait = -(1.0 - world.load_rng.random_range(0.0..1.0f64)).ln() / rate;
+            world.after(Duration::from_secs_f64(wait), What::Own(ARRIVAL));
+        }
+        FAULT => fault(world, &name),
+        _ => repair(world, &name),
+    });
+    world.after(Duration::from_secs(1), What::Own(ARRIVAL));
+    world.after(length / 3, What::Own(FAULT));
+    world.after(length * 2 / 3, What::Own(REPAIR));
+    let shared = Rc::new(RefCell::new(world));
+    world::run(&mut runtime, &shared, start + length + Duration::from_secs(70));
+    let mut world = shared.borrow_mut();
+    std::mem::take(&mut world.tally)
+}
+
+fn in_burst(name: &str, since: Duration, length: Duration) -> bool {
+    name == "burst" && since > length / 3 && since < length / 2
+}
+
+fn arrive(world: &mut World, mix: Mix, service: &rosemarypond_core::id::Service) {
+    let id = world.next_id();
+    let now = world.now;
+    let (request, tokens) = mix.draw(&mut world.load_rng, id, service, now);
+    let alive: Vec<_> =
+        (0..world.nodes.len()).filter(|n| world.nodes[*n].decider.is_some()).collect();
+    let node = alive[world.load_rng.random_range(0..alive.len())];
+    world.arrive(node, request, tokens);
+}
+
+fn fault(world: &mut World, name: &str) {
+    let first = world.engines.keys().next().cloned();
+    match (name, first) {
+        ("slow-engine", Some(id)) => {
+            if let Some(engine) = world.engines.get_mut(&id) {
+                engine.slowdown = SLOWDOWN;
+            }
+        }
+        ("instance-death", _) => world.kill(0),
+        ("zone-cut", _) => {
+            let zone = world.nodes[0].zone.clone();
+            world.cut_zones.insert(zone);
+        }
+        _ => {}
+    }
+}
+
+fn repair(world: &mut World, name: &str) {
+    match name {
+        "slow-engine" => world.engines.values_mut().for_each(|e| e.slowdown = 1.0),
+        "instance-death" => world.boot(0),
+        "zone-cut" => world.cut_zones.clear(),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/core/examples/support/table.rs
@@ -0,0 +1,55 @@
+//! A fake of the platform's table, with outages and lost answers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rosemarypond_core::claim::{Read, Record, Version, Write};
+use rosemarypond_core::config::{self, Document};
+use rosemarypond_core::request::Key;
+
+#[derive(Debug, Default)]
+pub struct Table {
+    pub down: bool,
+    pub rows: BTreeMap<(String, String), (Version, Record)>,
+    pub config: Option<(config::Version, Arc<Document>)>,
+    pub reads: u64,
+    pub writes: u64,
+}
+
+fn row(key: &Key) -> (String, String) {
+    (key.team.to_string(), key.text.clone())
+}
+
+impl Table {
+    pub fn read(&mut self, key: &Key) -> Read {
+        self.reads += 1;
+        if self.down {
+            return Read::Lost;
+        }
+        Read::Found(self.rows.get(&row(key)).copied())
+    }
+
+    pub fn write(&mut self, key: &Key, expected: Version, record: Record) -> Write {
+        self.writes += 1;
+        if self.down {
+            return Write::Lost;
+        }
+        let row = row(key);
+        let stands = self.rows.get(&row).map_or(0, |(version, _)| *version);
+        if stands != expected {
+            return Write::Conflict;
+        }
+        self.rows.insert(row, (stands + 1, record));
+        Write::Done(stands + 1)
+    }
+
+    /// Puts a configuration in force where the version still is `expected`.
+    pub fn configure(&mut self, expected: config::Version, document: Document) -> bool {
+        let stands = self.config.as_ref().map(|(v, _)| *v).unwrap_or_default();
+        if self.down || stands != expected {
+            return false;
+        }
+        self.config = Some((config::Version(stands.0 + 1), Arc::new(document)));
+        true
+    }
+}
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::config;
+use crate::id;
 use crate::queue::spread;
 use crate::request::Request;
 use crate::unit::{Rate, Tokens};
@@ -23,6 +24,7 @@
 const DEFAULT_PREFILL: Rate = Rate(4_000.0);
 const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(25);
 const DEFAULT_CALL_TIME: Duration = Duration::from_millis(50);
+const FULL_WEIGHT_TOKENS: f64 = 1_000.0;
 const LATE_MARGIN: Duration = Duration::from_millis(200);
 const LATE_FACTOR: u32 = 3;
 const DECREASE: f64 = 0.85;
@@ -51,6 +53,15 @@
     pub members: usize,
 }
 
+/// A request whose first token has not come yet.
+#[derive(Clone, Copy, Debug)]
+struct Awaited {
+    since: Instant,
+    uncached: u32,
+    /// Prompt tokens to be processed up to and with this request.
+    work: u32,
+}
+
 /// An upstream as one instance knows it.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -72,7 +83,7 @@
     failures: u32,
     paused_until: Option<Instant>,
     prefixes: HashMap<u64, Instant>,
-    awaiting_first: HashMap<crate::id::Request, Instant>,
+    awaiting_first: HashMap<id::Request, Awaited>,
 }
 
 fn learn(old: f64, seen: f64) -> f64 {
@@ -158,7 +169,7 @@
             return Duration::from_secs_f64(self.call_time);
         }
         let left = request.prompt.0 - self.cached(request, now).0;
-        let work = Rate(self.prefill).time_for(Tokens(left.max(1)));
+        let work = Rate(self.prefill).time_for(Tokens(self.awaited_tokens() + left.max(1)));
         work.max(self.oldest_wait(now) / 2)
     }
 
@@ -172,14 +183,20 @@
     }
 
     fn oldest_wait(&self, now: Instant) -> Duration {
-        let oldest = self.awaiting_first.values().min();
-        oldest.map_or(Duration::ZERO, |start| now.saturating_duration_since(*start))
+        let oldest = self.awaiting_first.values().map(|awaited| awaited.since).min();
+        oldest.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
+    /// Prompt tokens of this instance's requests that are still processed.
+    fn awaited_tokens(&self) -> u32 {
+        self.awaiting_first.values().map(|awaited| awaited.uncached).sum()
     }
 
     /// Notes that a request was sent to it.
     pub fn dispatched(&mut self, request: &Request, now: Instant) {
-        self.running += 1;
-        self.awaiting_first.insert(request.id, now);
+        let uncached = request.prompt.0 - self.cached(request, now).0;
+        let work = self.awaited_tokens() + uncached;
+        self.awaiting_first.insert(request.id, Awaited { since: now, uncached, work });
         self.remember(&request.prefix, now);
     }
 
@@ -205,22 +222,20 @@
         self.prefixes.retain(|_, seen| *seen >= middle);
     }
 
-    /// Learns from a first token that came after `taken`.
-    pub fn first_token(
-        &mut self,
-        request: &Request,
-        uncached: Tokens,
-        taken: Duration,
-        now: Instant,
-    ) {
-        self.awaiting_first.remove(&request.id);
+    /// Learns from a first token.
+    pub fn first_token(&mut self, request: id::Request, now: Instant) {
         self.failures = 0;
-        let seconds = taken.as_secs_f64().max(1e-4);
-        let expected = Rate(self.prefill).time_for(Tokens(uncached.0.max(1)));
-        let late = taken > expected * LATE_FACTOR + LATE_MARGIN;
-        if self.entry.kind == config::Kind::Engine && uncached.0 >= BLOCK_TOKENS {
-            self.prefill = learn(self.prefill, f64::from(uncached.0) / seconds);
+        let Some(awaited) = self.awaiting_first.remove(&request) else { return };
+        if self.entry.kind == config::Kind::Plain {
+            return;
         }
+        let taken = now.duration_since(awaited.since);
+        let expected = Rate(self.prefill).time_for(Tokens(awaited.work.max(1)));
+        let late = taken > expected * LATE_FACTOR + LATE_MARGIN;
+        // Short prompts say little of the rate: their time is mostly waiting.
+        let weight = LEARNING_RATE * (f64::from(awaited.work) / FULL_WEIGHT_TOKENS).min(1.0);
+        let seen = f64::from(awaited.work) / taken.as_secs_f64().max(1e-4);
+        self.prefill += weight * (seen - self.prefill);
         if late { self.decrease(now) } else { self.increase() }
     }
 
@@ -250,7 +265,7 @@
     }
 
     /// Notes that a request no longer runs on it.
-    pub fn released(&mut self, request: crate::id::Request) {
+    pub fn released(&mut self, request: id::Request) {
         self.running = self.running.saturating_sub(1);
         self.awaiting_first.remove(&request);
     }
--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -249,9 +249,8 @@
             return;
         }
         run.first = Some(now);
-        let taken = now.duration_since(run.since);
         if let Some(engine) = self.engines.get_mut(&run.upstream) {
-            engine.first_token(&held.request, run.uncached, taken, now);
+            engine.first_token(id, now);
         }
         self.note(now, Subject::Request(id), "first token".into());
     }
