Tell sizes apart: flows, answer lengths and waits by prompt size

Now a flow is a team's requests of one of five sizes, answers are learnt by size with their deviation, and a request that no upstream is likely to finish is not started.

--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -1,6 +1,7 @@
 //! One entry instance: takes events, and says what is to be done.
 
 mod keys;
+mod pace;
 mod peers;
 mod room;
 mod schedule;
@@ -21,11 +22,12 @@
 use crate::invariant::Ledger;
 use crate::member::Members;
 use crate::outcome::{Outcome, Reason};
-use crate::queue::Queue;
+use crate::queue::{Queue, Size};
 use crate::request::{Repeat, Request};
 use crate::timeline::{self, Clock, Ring, Subject};
 use crate::unit::Tokens;
 
+use pace::Pace;
 pub use view::{Counters, Row, Stage as RowStage};
 
 /// How often [`Event::Tick`] is to be sent.
@@ -96,20 +98,6 @@
     stage: Stage,
 }
 
-/// What an instance has learnt about one service.
-#[derive(Clone, Copy, Debug)]
-struct Pace {
-    answer_tokens: f64,
-    completions: f64,
-    rate: f64,
-}
-
-impl Default for Pace {
-    fn default() -> Self {
-        Self { answer_tokens: 128.0, completions: 0.0, rate: 0.0 }
-    }
-}
-
 /// One entry instance.
 ///
 /// ```
@@ -307,15 +295,14 @@
     fn whole(&mut self, now: Instant, id: id::Request, run: &Run, tokens: Tokens) {
         let held = &self.held[&id];
         let (rank, service) = (held.request.rank, held.request.service.clone());
+        let size = Size::of(held.request.prompt);
         let in_time = now <= held.request.deadline;
         self.counters.whole(rank, in_time);
         let first = run.first.unwrap_or(run.since);
         if let Some(engine) = self.engines.get_mut(&run.upstream) {
             engine.whole(tokens, now.duration_since(first));
         }
-        let pace = self.paces.entry(service).or_default();
-        pace.completions += 1.0;
-        pace.answer_tokens += 0.1 * (f64::from(tokens.0) - pace.answer_tokens);
+        self.paces.entry(service).or_default().learn_answer(size, tokens);
     }
 
     fn fail_engine(&mut self, now: Instant, upstream: &id::Upstream) {
@@ -372,9 +359,8 @@
 
     /// How long a request of `rank` that arrives now is likely to wait.
     fn expected_wait(&self, service: &id::Service, rank: u8) -> Option<Duration> {
-        let ahead = self.queues.get(service)?.count_to(rank) as f64;
-        let rate = self.paces.get(service)?.rate;
-        (rate > 0.1).then(|| Duration::from_secs_f64((ahead / rate).min(3_600.0)))
+        let queue = self.queues.get(service)?;
+        self.paces.get(service)?.expected_wait(rank, queue.count(rank))
     }
 
     fn set_draining(&mut self, now: Instant, draining: bool) {
@@ -391,11 +377,7 @@
         if self.last_heartbeat.is_none_or(|at| now - at >= crate::member::HEARTBEAT_INTERVAL) {
             self.heartbeat(now);
         }
-        for pace in self.paces.values_mut() {
-            let rate = pace.completions / TICK_INTERVAL.as_secs_f64();
-            pace.rate += 0.05 * (rate - pace.rate);
-            pace.completions = 0.0;
-        }
+        self.paces.values_mut().for_each(|pace| pace.tick(TICK_INTERVAL));
         self.expire_waiting(now);
         self.schedule_all(now);
         self.preempt(now);
--- /dev/null
+++ b/crates/core/src/instance/pace.rs
@@ -0,0 +1,81 @@
+//! What an instance has learnt about one service: how fast its tiers get
+//! through, and how long the answers are.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::queue::Size;
+use crate::unit::Tokens;
+
+const ANSWER_LEARNING_RATE: f64 = 0.1;
+const RATE_LEARNING_RATE: f64 = 0.02;
+const DEFAULT_ANSWER_TOKENS: f64 = 128.0;
+/// Below this rate, in requests a second, no wait is foretold.
+const MIN_RATE: f64 = 0.02;
+
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    mean: f64,
+    deviation: f64,
+}
+
+impl Default for Answer {
+    fn default() -> Self {
+        Self { mean: DEFAULT_ANSWER_TOKENS, deviation: 0.0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Flow {
+    started: f64,
+    rate: f64,
+}
+
+/// What is learnt about one service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pace {
+    answers: BTreeMap<Size, Answer>,
+    flows: BTreeMap<u8, Flow>,
+}
+
+impl Pace {
+    /// Learns from a whole answer.
+    pub(super) fn learn_answer(&mut self, size: Size, tokens: Tokens) {
+        let answer = self.answers.entry(size).or_default();
+        let off = f64::from(tokens.0) - answer.mean;
+        answer.mean += ANSWER_LEARNING_RATE * off;
+        answer.deviation += ANSWER_LEARNING_RATE * (off.abs() - answer.deviation);
+    }
+
+    /// Notes that a waiting request of a rank was let run.
+    pub(super) fn started(&mut self, rank: u8) {
+        self.flows.entry(rank).or_default().started += 1.0;
+    }
+
+    /// Takes account of the time that went by.
+    pub(super) fn tick(&mut self, interval: Duration) {
+        for flow in self.flows.values_mut() {
+            let rate = flow.started / interval.as_secs_f64();
+            flow.rate += RATE_LEARNING_RATE * (rate - flow.rate);
+            flow.started = 0.0;
+        }
+    }
+
+    /// The answer that a prompt of a size is likely to get.
+    pub(super) fn answer(&self, size: Size) -> Tokens {
+        Tokens(self.answers.get(&size).copied().unwrap_or_default().mean as u32)
+    }
+
+    /// An answer that is longer than most that a prompt of a size gets.
+    pub(super) fn long_answer(&self, size: Size) -> Tokens {
+        let answer = self.answers.get(&size).copied().unwrap_or_default();
+        Tokens((answer.mean + answer.deviation) as u32)
+    }
+
+    /// How long the last of `count` waiting requests of a rank is likely to wait.
+    pub(super) fn expected_wait(&self, rank: u8, count: usize) -> Option<Duration> {
+        let rate = self.flows.get(&rank)?.rate;
+        let wait = Duration::from_secs_f64((count as f64 / rate.max(MIN_RATE)).min(3_600.0));
+        (rate > MIN_RATE).then_some(wait)
+    }
+}
--- a/crates/core/src/instance/schedule.rs
+++ b/crates/core/src/instance/schedule.rs
@@ -2,18 +2,22 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Instance, MAX_WAITING, Run, Stage};
+use super::{Instance, MAX_WAITING, Pace, Run, Stage};
 use crate::config::Kind;
 use crate::engine::{Engine, Place};
 use crate::event::Action;
 use crate::id;
 use crate::outcome::Reason;
+use crate::queue::Size;
 use crate::request::Request;
 use crate::timeline::Subject;
 use crate::unit::Tokens;
 
 /// The cost of one answer token, counted in prompt tokens.
 const ANSWER_TOKEN_COST: u64 = 8;
+/// A request is fresh until it has waited for this part of the time that is
+/// left, as a divisor.
+const FRESH_DIVISOR: u32 = 8;
 /// The share of an upstream that a foreign zone may use, as a divisor.
 const FOREIGN_SHARE: u32 = 8;
 
@@ -106,37 +110,45 @@
         queue.candidates().find_map(place)
     }
 
-    /// The upstream with room that is likely to finish a request first.
+    /// The upstream with room that is likely to finish a request first, in time.
     ///
-    /// An upstream that cannot finish it in time is left out as long as
-    /// another one, which has no room now, could.
+    /// A request that no upstream is likely to finish in time is let run while
+    /// it has not waited for long: the estimate may be wrong.
     fn best_upstream(&self, now: Instant, request: &Request) -> Option<id::Upstream> {
         let answer = self.expected_answer(request);
-        let slack = request.deadline.saturating_duration_since(now);
-        let timed = |e: &Engine| (e.whole_time(request, answer, now), e.entry.id.clone());
         let place = self.place();
+        let timed = |e: &Engine| (e.whole_time(request, answer, now), e.entry.id.clone());
         let with_room = self.open_engines(now, request).filter(|e| self.room_on(e, place) > 0);
         let (time, upstream) = with_room.map(timed).min()?;
-        if time <= slack {
-            return Some(upstream);
-        }
-        let best = self.best_time(now, request)?;
-        (best > slack).then_some(upstream)
+        let slack = request.deadline.saturating_duration_since(now);
+        let fits = time <= slack || self.is_fresh(now, request) && self.best_time(now, request)? > slack;
+        fits.then_some(upstream)
     }
 
-    /// The shortest time in which any open upstream could run a request.
+    /// Whether a request has most of its time left.
+    fn is_fresh(&self, now: Instant, request: &Request) -> bool {
+        let slack = request.deadline.saturating_duration_since(now);
+        now.saturating_duration_since(request.arrived) < slack / FRESH_DIVISOR
+    }
+
+    /// The shortest time in which any open upstream is likely to run a request.
     pub(super) fn best_time(&self, now: Instant, request: &Request) -> Option<Duration> {
         let answer = self.expected_answer(request);
         let times = self.open_engines(now, request).map(|e| e.whole_time(request, answer, now));
         times.min()
     }
 
+    /// An answer length that most answers stay below.
     fn expected_answer(&self, request: &Request) -> Tokens {
-        let learnt = self.paces.get(&request.service).copied().unwrap_or_default().answer_tokens;
-        let learnt = Tokens(learnt as u32);
+        let size = Size::of(request.prompt);
+        let learnt = self.pace_of(request).long_answer(size);
         request.max_answer.map_or(learnt, |most| most.min(learnt))
     }
 
+    fn pace_of(&self, request: &Request) -> Pace {
+        self.paces.get(&request.service).cloned().unwrap_or_default()
+    }
+
     /// The open upstreams of the own zone, or of others where it has none.
     fn open_engines<'a>(
         &'a self,
@@ -160,9 +172,10 @@
 
     fn grant(&mut self, now: Instant, id: id::Request, upstream: id::Upstream) {
         let request = &self.held[&id].request;
-        let answer = self.expected_answer(request);
+        let answer = self.pace_of(request).answer(Size::of(request.prompt));
         let cost = u64::from(request.prompt.0) + ANSWER_TOKEN_COST * u64::from(answer.0);
-        let service = request.service.clone();
+        let (service, rank) = (request.service.clone(), request.rank);
+        self.paces.entry(service.clone()).or_default().started(rank);
         if let Some(queue) = self.queues.get_mut(&service) {
             queue.take(id, cost);
         }
@@ -228,8 +241,8 @@
     fn refuse_late_heads(&mut self, now: Instant, service: &id::Service) {
         let is_late = |request: &&Request| {
             let slack = request.deadline.saturating_duration_since(now);
-            let waited = now.saturating_duration_since(request.arrived);
-            waited > slack && self.best_time(now, request).is_some_and(|best| best > slack)
+            let best = self.best_time(now, request);
+            !self.is_fresh(now, request) && best.is_some_and(|best| best > slack)
         };
         let late = self.queues[service].candidates().filter(is_late);
         let late: Vec<_> = late.map(|request| request.id).collect();
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -1,7 +1,7 @@
 //! The requests of one service that wait for room, by tier and team.
 //!
 //! Within a tier, flows share by the work that they ask for: a flow is a
-//! team's short or long requests, so that neither a large team nor a long
+//! team's requests of one size, so that neither a large team nor a long
 //! request stands in the way of the others.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -10,9 +10,28 @@
 
 use crate::id;
 use crate::request::Request;
+use crate::unit::Tokens;
 
-/// Requests with a longer prompt than this count as long.
-pub const LONG_PROMPT_TOKENS: u32 = 1_024;
+/// The longest prompts of each size but the last, in tokens.
+const SIZE_LIMITS_TOKENS: [u32; 4] = [128, 512, 2_048, 8_192];
+
+/// How long prompts are, in a few steps.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Size(u8);
+
+impl Size {
+    /// The size of a prompt.
+    ///
+    /// ```
+    /// use rosemarypond_core::queue::Size;
+    /// use rosemarypond_core::unit::Tokens;
+    /// assert!(Size::of(Tokens(30)) < Size::of(Tokens(9_000)));
+    /// ```
+    pub fn of(prompt: Tokens) -> Self {
+        let step = SIZE_LIMITS_TOKENS.iter().position(|limit| prompt.0 <= *limit);
+        Self(step.unwrap_or(SIZE_LIMITS_TOKENS.len()) as u8)
+    }
+}
 
 const CANDIDATES: usize = 4;
 
@@ -31,12 +50,12 @@
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 struct Flow {
     team: id::Team,
-    is_long: bool,
+    size: Size,
 }
 
 impl Flow {
     fn of(request: &Request) -> Self {
-        Self { team: request.team.clone(), is_long: request.prompt.0 > LONG_PROMPT_TOKENS }
+        Self { team: request.team.clone(), size: Size::of(request.prompt) }
     }
 }
 
