Charge long requests more for the same work

Cause: flows of all sizes got the same share of work, so a tier under overload spent it on few long prompts where many short ones could have finished. Long flows now pay up to sixteen times, and keep a share.

--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -339,9 +339,9 @@
 
     fn answer(&mut self, now: Instant, id: id::Request, verdict: Verdict) {
         let held = &self.held[&id];
-        let (rank, service) = (held.request.rank, held.request.service.clone());
+        let rank = held.request.rank;
+        let retry_after = self.retry_after(&held.request);
         self.ledger.answer(id, verdict);
-        let retry_after = self.retry_after(&service, rank, id);
         if let Verdict::Refuse(outcome, reason) = verdict {
             self.counters.refused(rank, outcome, reason);
         }
@@ -350,17 +350,18 @@
     }
 
     /// When a caller may come back: after the backlog, spread over half as much again.
-    fn retry_after(&self, service: &id::Service, rank: u8, id: id::Request) -> Duration {
-        let backlog = self.expected_wait(service, rank).unwrap_or_default();
-        let spread = (crate::queue::spread(id) % 512) as f64 / 1_024.0;
+    fn retry_after(&self, request: &Request) -> Duration {
+        let size = Size::of(request.prompt);
+        let backlog = self.expected_wait(&request.service, request.rank, size).unwrap_or_default();
+        let spread = (crate::queue::spread(request.id) % 512) as f64 / 1_024.0;
         let after = backlog.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER).mul_f64(1.0 + spread);
         after.min(MAX_RETRY_AFTER)
     }
 
-    /// How long a request of `rank` that arrives now is likely to wait.
-    fn expected_wait(&self, service: &id::Service, rank: u8) -> Option<Duration> {
-        let queue = self.queues.get(service)?;
-        self.paces.get(service)?.expected_wait(rank, queue.count(rank))
+    /// How long a request that arrives now is likely to wait.
+    fn expected_wait(&self, service: &id::Service, rank: u8, size: Size) -> Option<Duration> {
+        let count = self.queues.get(service)?.count_of(rank, size);
+        self.paces.get(service)?.expected_wait(rank, size, count)
     }
 
     fn set_draining(&mut self, now: Instant, draining: bool) {
@@ -377,7 +378,10 @@
         if self.last_heartbeat.is_none_or(|at| now - at >= crate::member::HEARTBEAT_INTERVAL) {
             self.heartbeat(now);
         }
-        self.paces.values_mut().for_each(|pace| pace.tick(TICK_INTERVAL));
+        for (service, pace) in &mut self.paces {
+            let queue = self.queues.get(service);
+            pace.tick(TICK_INTERVAL, |rank, size| queue.map_or(0, |q| q.count_of(rank, size)));
+        }
         self.expire_waiting(now);
         self.schedule_all(now);
         self.preempt(now);
--- a/crates/core/src/instance/pace.rs
+++ b/crates/core/src/instance/pace.rs
@@ -35,7 +35,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pace {
     answers: BTreeMap<Size, Answer>,
-    flows: BTreeMap<u8, Flow>,
+    flows: BTreeMap<(u8, Size), Flow>,
 }
 
 impl Pace {
@@ -47,14 +47,21 @@
         answer.deviation += ANSWER_LEARNING_RATE * (off.abs() - answer.deviation);
     }
 
-    /// Notes that a waiting request of a rank was let run.
-    pub(super) fn started(&mut self, rank: u8) {
-        self.flows.entry(rank).or_default().started += 1.0;
+    /// Notes that a waiting request was let run.
+    pub(super) fn started(&mut self, rank: u8, size: Size) {
+        self.flows.entry((rank, size)).or_default().started += 1.0;
     }
 
     /// Takes account of the time that went by.
-    pub(super) fn tick(&mut self, interval: Duration) {
-        for flow in self.flows.values_mut() {
+    ///
+    /// A rate is only learnt while something waits: an idle queue says
+    /// nothing of how fast it would get through.
+    pub(super) fn tick(&mut self, interval: Duration, waiting: impl Fn(u8, Size) -> usize) {
+        for ((rank, size), flow) in &mut self.flows {
+            if waiting(*rank, *size) == 0 {
+                flow.started = 0.0;
+                continue;
+            }
             let rate = flow.started / interval.as_secs_f64();
             flow.rate += RATE_LEARNING_RATE * (rate - flow.rate);
             flow.started = 0.0;
@@ -72,9 +79,9 @@
         Tokens((answer.mean + answer.deviation) as u32)
     }
 
-    /// How long the last of `count` waiting requests of a rank is likely to wait.
-    pub(super) fn expected_wait(&self, rank: u8, count: usize) -> Option<Duration> {
-        let rate = self.flows.get(&rank)?.rate;
+    /// How long the last of `count` waiting requests is likely to wait.
+    pub(super) fn expected_wait(&self, rank: u8, size: Size, count: usize) -> Option<Duration> {
+        let rate = self.flows.get(&(rank, size))?.rate;
         let wait = Duration::from_secs_f64((count as f64 / rate.max(MIN_RATE)).min(3_600.0));
         (rate > MIN_RATE).then_some(wait)
     }
--- a/crates/core/src/instance/schedule.rs
+++ b/crates/core/src/instance/schedule.rs
@@ -43,10 +43,10 @@
     /// to make room.
     fn is_hopeless(&self, now: Instant, service: &id::Service, id: id::Request) -> bool {
         let request = &self.held[&id].request;
-        let Some(wait) = self.expected_wait(service, request.rank) else { return false };
+        let size = Size::of(request.prompt);
+        let Some(wait) = self.expected_wait(service, request.rank, size) else { return false };
         let slack = request.deadline.saturating_duration_since(now);
-        let run = self.best_time(now, request).unwrap_or_default();
-        wait + run > slack && !self.lower_could_make_room(service, request.rank)
+        wait > slack && !self.lower_could_make_room(service, request.rank)
     }
 
     /// Sheds from the bottom until the queue is within its bound.
@@ -175,7 +175,8 @@
         let answer = self.pace_of(request).answer(Size::of(request.prompt));
         let cost = u64::from(request.prompt.0) + ANSWER_TOKEN_COST * u64::from(answer.0);
         let (service, rank) = (request.service.clone(), request.rank);
-        self.paces.entry(service.clone()).or_default().started(rank);
+        let size = Size::of(request.prompt);
+        self.paces.entry(service.clone()).or_default().started(rank, size);
         if let Some(queue) = self.queues.get_mut(&service) {
             queue.take(id, cost);
         }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -15,6 +15,11 @@
 /// The longest prompts of each size but the last, in tokens.
 const SIZE_LIMITS_TOKENS: [u32; 4] = [128, 512, 2_048, 8_192];
 
+/// How much more a flow of each size is charged for the same work: the many
+/// short requests that one long one displaces go first, and the long one still
+/// has a share that it does not lose.
+const SIZE_WEIGHTS: [u64; 5] = [1, 2, 4, 8, 16];
+
 /// How long prompts are, in a few steps.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Size(u8);
@@ -71,6 +76,7 @@
     flows: HashMap<Flow, Backlog>,
     by_finish: BTreeSet<(u64, Flow)>,
     by_length: BTreeSet<(usize, Flow)>,
+    by_size: BTreeMap<Size, usize>,
     count: usize,
 }
 
@@ -99,6 +105,7 @@
         }
         backlog.waiting.push_back(request);
         self.count += 1;
+        *self.by_size.entry(flow.size).or_default() += 1;
         self.enlist(&flow);
     }
 
@@ -123,6 +130,9 @@
         let Some(place) = backlog.waiting.iter().position(|r| *r == request) else { return };
         backlog.waiting.remove(place);
         self.count -= 1;
+        if let Some(count) = self.by_size.get_mut(&flow.size) {
+            *count -= 1;
+        }
         self.settle(flow);
     }
 
@@ -178,7 +188,7 @@
             .flows
             .entry(flow.clone())
             .or_insert_with(|| Backlog { finish: level.clock, waiting: VecDeque::new() });
-        level.charge(&flow, cost);
+        level.charge(&flow, cost * SIZE_WEIGHTS[usize::from(flow.size.0)]);
         Some(request)
     }
 
@@ -232,9 +242,10 @@
         self.levels.get(&rank).map_or(0, |level| level.count)
     }
 
-    /// How many requests of a rank or of a higher one wait.
-    pub fn count_to(&self, rank: u8) -> usize {
-        self.levels.range(..=rank).map(|(_, level)| level.count).sum()
+    /// How many requests of a rank and size wait.
+    pub fn count_of(&self, rank: u8, size: Size) -> usize {
+        let level = self.levels.get(&rank);
+        level.and_then(|level| level.by_size.get(&size)).copied().unwrap_or(0)
     }
 
     /// The waiting requests, in no particular order.
