Shrink an upstream's limit only on strong lateness

Cause: first tokens that waited behind a peer's prompt looked late, so limits stood at three quarters of the slots under load (69 of 84 slots ran at 150 %). Ruled out: slots lost to lending (lent and borrowed added up).

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -25,9 +25,10 @@
 const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(25);
 const DEFAULT_CALL_TIME: Duration = Duration::from_millis(50);
 const FULL_WEIGHT_TOKENS: f64 = 1_000.0;
-const LATE_MARGIN: Duration = Duration::from_millis(200);
-const LATE_FACTOR: u32 = 3;
+const LATE_MARGIN: Duration = Duration::from_secs(2);
+const LATE_FACTOR: u32 = 4;
 const DECREASE: f64 = 0.85;
+const INCREASE: f64 = 0.25;
 const DECREASE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How the instances of a zone share an upstream's slots.
@@ -250,7 +251,7 @@
 
     fn increase(&mut self) {
         let most = f64::from(self.entry.slots);
-        self.limit = (self.limit + 1.0 / self.limit.max(1.0)).min(most);
+        self.limit = (self.limit + INCREASE).min(most);
     }
 
     /// Learns from a whole answer of `tokens` that took `taken` after its first.
