Refuse early what would wait far too long, and what cannot finish

Now the most urgent request of each size is looked at on every tick, and a request whose wait would be twice its time is refused on arrival, from the rate at which its kind gets through while it waits.

--- a/crates/core/examples/load/main.rs
+++ b/crates/core/examples/load/main.rs
@@ -51,9 +51,12 @@
                 .default_value("120")
                 .value_parser(value_parser!(u64)),
         )
-        .arg(Arg::new("sharing").long("sharing").action(ArgAction::SetTrue).help(
-            "Compare the ways of sharing an upstream's slots in place of the baselines",
-        ))
+        .arg(
+            Arg::new("sharing")
+                .long("sharing")
+                .action(ArgAction::SetTrue)
+                .help("Compare the ways of sharing an upstream's slots in place of the baselines"),
+        )
         .arg(Arg::new("json").long("json").action(ArgAction::SetTrue))
         .get_matches();
     let seed: u64 = *matches.get_one("seed").expect("it has a default");
@@ -67,7 +70,8 @@
     let policies = report::policies(matches.get_flag("sharing"));
     let runs: Vec<_> = (seed..seed + seeds)
         .map(|seed| {
-            let run = |(name, policy): &(&'static str, _)| (*name, scenario::run(&plan, seed, *policy));
+            let run =
+                |(name, policy): &(&'static str, _)| (*name, scenario::run(&plan, seed, *policy));
             report::Run { seed, tallies: policies.iter().map(run).collect() }
         })
         .collect();
--- a/crates/core/examples/load/report.rs
+++ b/crates/core/examples/load/report.rs
@@ -39,8 +39,7 @@
 
 fn spread(mut values: Vec<f64>) -> String {
     values.sort_by(f64::total_cmp);
-    let (first, middle, last) =
-        (values[0], values[values.len() / 2], values[values.len() - 1]);
+    let (first, middle, last) = (values[0], values[values.len() / 2], values[values.len() - 1]);
     format!("{:6.2} [{:6.2} {:6.2}]", middle * 100.0, first * 100.0, last * 100.0)
 }
 
@@ -57,7 +56,9 @@
         runs[runs.len() - 1].seed,
     );
     text.push_str("policy             good of tier 0          tier 1                  tier 2");
-    text.push_str("                  all                     wasted prefill          first 50/95/99 % s\n");
+    text.push_str(
+        "                  all                     wasted prefill          first 50/95/99 % s\n",
+    );
     for place in 0..runs[0].tallies.len() {
         let (name, _) = runs[0].tallies[place];
         let of = |figure: &dyn Fn(&Tally) -> f64| {
@@ -97,7 +98,8 @@
 
 fn policy(name: &str, tally: &Tally) -> Value {
     let tier = |rank: u8| {
-        let count = |counts: &std::collections::BTreeMap<u8, u64>| counts.get(&rank).copied().unwrap_or(0);
+        let count =
+            |counts: &std::collections::BTreeMap<u8, u64>| counts.get(&rank).copied().unwrap_or(0);
         json!({
             "tier": rank,
             "offered": count(&tally.offered),
--- a/crates/core/examples/load/workload.rs
+++ b/crates/core/examples/load/workload.rs
@@ -54,7 +54,12 @@
             _ => ("accra", 3, "scribe-llm"),
         };
         let zones = ["a", "b", "c"].map(|zone| parse(format!("{region}-{zone}")));
-        Self { zones: zones.to_vec(), engines_per_zone, instances_per_zone: 2, service: parse(service) }
+        Self {
+            zones: zones.to_vec(),
+            engines_per_zone,
+            instances_per_zone: 2,
+            service: parse(service),
+        }
     }
 
     /// The engines with their speeds; every zone has unlike ones.
--- a/crates/core/examples/support/engine.rs
+++ b/crates/core/examples/support/engine.rs
@@ -139,7 +139,12 @@
         Some(job)
     }
 
-    pub fn find(&self, node: usize, life: u64, request: rosemarypond_core::id::Request) -> Option<u64> {
+    pub fn find(
+        &self,
+        node: usize,
+        life: u64,
+        request: rosemarypond_core::id::Request,
+    ) -> Option<u64> {
         let same = |job: &Job| job.node == node && job.life == life && job.request.id == request;
         self.jobs.iter().find(|(_, job)| same(job)).map(|(number, _)| *number)
     }
--- a/crates/core/examples/support/tally.rs
+++ b/crates/core/examples/support/tally.rs
@@ -24,7 +24,8 @@
 
 impl Default for Tally {
     fn default() -> Self {
-        let histogram = || Histogram::new_with_bounds(1, MAX_TIME_US, 3).expect("the bounds are in order");
+        let histogram =
+            || Histogram::new_with_bounds(1, MAX_TIME_US, 3).expect("the bounds are in order");
         Self {
             offered: BTreeMap::new(),
             good: BTreeMap::new(),
--- a/crates/core/examples/support/world.rs
+++ b/crates/core/examples/support/world.rs
@@ -64,19 +64,53 @@
 /// Something that happens at a time.
 #[derive(Clone, Debug)]
 pub enum What {
-    Tick { node: usize, life: u64 },
-    Poll { node: usize, life: u64 },
-    Deliver { node: usize, life: u64, event: Box<Event> },
-    First { upstream: id::Upstream, job: u64 },
-    Done { upstream: id::Upstream, job: u64 },
+    Tick {
+        node: usize,
+        life: u64,
+    },
+    Poll {
+        node: usize,
+        life: u64,
+    },
+    Deliver {
+        node: usize,
+        life: u64,
+        event: Box<Event>,
+    },
+    First {
+        upstream: id::Upstream,
+        job: u64,
+    },
+    Done {
+        upstream: id::Upstream,
+        job: u64,
+    },
     /// A request reaches its upstream.
-    Reach { node: usize, life: u64, request: id::Request, upstream: id::Upstream },
+    Reach {
+        node: usize,
+        life: u64,
+        request: id::Request,
+        upstream: id::Upstream,
+    },
     /// An order to stop a request reaches its upstream.
-    Stop { node: usize, life: u64, request: id::Request },
+    Stop {
+        node: usize,
+        life: u64,
+        request: id::Request,
+    },
     /// A claim's write reaches the table.
-    Write { node: usize, life: u64, request: id::Request, write: LateWrite },
-    CallerTimeout { request: id::Request },
-    Publish { upstream: id::Upstream },
+    Write {
+        node: usize,
+        life: u64,
+        request: id::Request,
+        write: LateWrite,
+    },
+    CallerTimeout {
+        request: id::Request,
+    },
+    Publish {
+        upstream: id::Upstream,
+    },
     /// Something of the example's own.
     Own(u64),
 }
@@ -222,9 +256,7 @@
                 let options = Options { identity, epoch, epoch_micros: 0, seed, sharing };
                 Decider::Ours(Box::new(Instance::new(options)))
             }
-            Policy::Baseline(choice) => {
-                Decider::Baseline(Balancer::new(choice, node.zone.clone()))
-            }
+            Policy::Baseline(choice) => Decider::Baseline(Balancer::new(choice, node.zone.clone())),
             Policy::Oracle => {
                 Decider::Baseline(Balancer::new(Choice::RoundRobin, node.zone.clone()))
             }
@@ -401,8 +433,10 @@
         let now = self.now;
         let Some(Decider::Ours(instance)) = &mut self.nodes[from].decider else { return };
         let message = instance.message(now, body);
-        let others: Vec<_> =
-            (0..self.nodes.len()).filter(|n| *n != from).map(|n| self.nodes[n].id.clone()).collect();
+        let others: Vec<_> = (0..self.nodes.len())
+            .filter(|n| *n != from)
+            .map(|n| self.nodes[n].id.clone())
+            .collect();
         for to in others {
             self.send(from, &to, message.clone());
         }
@@ -594,7 +628,8 @@
         let zone = self.upstream_zone[upstream].clone();
         for node in 0..self.nodes.len() {
             if self.nodes[node].zone == zone {
-                let (upstream, stored, evicted) = (upstream.clone(), stored.clone(), evicted.clone());
+                let (upstream, stored, evicted) =
+                    (upstream.clone(), stored.clone(), evicted.clone());
                 self.handle(node, Event::Cache { upstream, stored, evicted });
             }
         }
@@ -614,8 +649,9 @@
                 let free = self.engines.iter().filter(|(u, e)| {
                     e.alive && e.running() < e.speed.slots && self.upstream_zone[*u] == *zone
                 });
-                let timed = free
-                    .map(|(u, e)| (e.true_time(&caller.request, caller.tokens, self.now), u.clone()));
+                let timed = free.map(|(u, e)| {
+                    (e.true_time(&caller.request, caller.tokens, self.now), u.clone())
+                });
                 let Some((time, upstream)) = timed.min() else { continue };
                 if self.now + time > caller.request.deadline {
                     continue;
--- a/crates/core/src/instance/pace.rs
+++ b/crates/core/src/instance/pace.rs
@@ -10,8 +10,13 @@
 const ANSWER_LEARNING_RATE: f64 = 0.1;
 const RATE_LEARNING_RATE: f64 = 0.02;
 const DEFAULT_ANSWER_TOKENS: f64 = 128.0;
-/// Below this rate, in requests a second, no wait is foretold.
-const MIN_RATE: f64 = 0.02;
+/// The lowest rate that a wait is foretold from, in requests a second.
+const MIN_RATE: f64 = 0.005;
+/// How long something has to have waited before a wait is foretold.
+const MIN_OBSERVED: Duration = Duration::from_secs(5);
+/// So few waiting requests are let in whatever the rate, so that a flow that
+/// stood still is tried again.
+const MIN_COUNT: usize = 2;
 
 #[derive(Clone, Copy, Debug)]
 struct Answer {
@@ -29,6 +34,7 @@
 struct Flow {
     started: f64,
     rate: f64,
+    observed: Duration,
 }
 
 /// What is learnt about one service.
@@ -47,6 +53,11 @@
         answer.deviation += ANSWER_LEARNING_RATE * (off.abs() - answer.deviation);
     }
 
+    /// Notes that something of a kind came to wait.
+    pub(super) fn waits(&mut self, rank: u8, size: Size) {
+        self.flows.entry((rank, size)).or_default();
+    }
+
     /// Notes that a waiting request was let run.
     pub(super) fn started(&mut self, rank: u8, size: Size) {
         self.flows.entry((rank, size)).or_default().started += 1.0;
@@ -62,6 +73,7 @@
                 flow.started = 0.0;
                 continue;
             }
+            flow.observed += interval;
             let rate = flow.started / interval.as_secs_f64();
             flow.rate += RATE_LEARNING_RATE * (rate - flow.rate);
             flow.started = 0.0;
@@ -81,8 +93,10 @@
 
     /// How long the last of `count` waiting requests is likely to wait.
     pub(super) fn expected_wait(&self, rank: u8, size: Size, count: usize) -> Option<Duration> {
-        let rate = self.flows.get(&(rank, size))?.rate;
-        let wait = Duration::from_secs_f64((count as f64 / rate.max(MIN_RATE)).min(3_600.0));
-        (rate > MIN_RATE).then_some(wait)
+        let flow = self.flows.get(&(rank, size))?;
+        if flow.observed < MIN_OBSERVED || count <= MIN_COUNT {
+            return None;
+        }
+        Some(Duration::from_secs_f64(count as f64 / flow.rate.max(MIN_RATE)))
     }
 }
--- a/crates/core/src/instance/schedule.rs
+++ b/crates/core/src/instance/schedule.rs
@@ -15,6 +15,9 @@
 
 /// The cost of one answer token, counted in prompt tokens.
 const ANSWER_TOKEN_COST: u64 = 8;
+/// A request is refused on arrival where its wait is likely to be this many
+/// times the time that it has.
+const HOPELESS_FACTOR: u32 = 2;
 /// A request is fresh until it has waited for this part of the time that is
 /// left, as a divisor.
 const FRESH_DIVISOR: u32 = 8;
@@ -28,6 +31,8 @@
         held.stage = Stage::Queued;
         let request = held.request.clone();
         let (rank, service) = (request.rank, request.service.clone());
+        let size = Size::of(request.prompt);
+        self.paces.entry(service.clone()).or_default().waits(rank, size);
         self.queues.entry(service.clone()).or_default().push(request);
         if self.is_hopeless(now, &service, id) {
             let lower = self.lower_could_make_room(&service, rank);
@@ -46,7 +51,7 @@
         let size = Size::of(request.prompt);
         let Some(wait) = self.expected_wait(service, request.rank, size) else { return false };
         let slack = request.deadline.saturating_duration_since(now);
-        wait > slack && !self.lower_could_make_room(service, request.rank)
+        wait > slack * HOPELESS_FACTOR && !self.lower_could_make_room(service, request.rank)
     }
 
     /// Sheds from the bottom until the queue is within its bound.
@@ -121,7 +126,8 @@
         let with_room = self.open_engines(now, request).filter(|e| self.room_on(e, place) > 0);
         let (time, upstream) = with_room.map(timed).min()?;
         let slack = request.deadline.saturating_duration_since(now);
-        let fits = time <= slack || self.is_fresh(now, request) && self.best_time(now, request)? > slack;
+        let fits =
+            time <= slack || self.is_fresh(now, request) && self.best_time(now, request)? > slack;
         fits.then_some(upstream)
     }
 
@@ -229,26 +235,20 @@
     pub(super) fn expire_waiting(&mut self, now: Instant) {
         let services: Vec<_> = self.queues.keys().cloned().collect();
         for service in services {
-            while let Some(request) = self.queues[&service].due(now) {
-                let id = request.id;
-                self.refuse(now, id, Reason::Deadline);
+            while let Some(late) = self.late(now, &service) {
+                self.refuse(now, late, Reason::Deadline);
             }
-            self.refuse_late_heads(now, &service);
         }
     }
 
-    /// Refuses the next requests of each tier where even a free upstream
-    /// would not finish them in time.
-    fn refuse_late_heads(&mut self, now: Instant, service: &id::Service) {
+    /// A waiting request that even a free upstream would not finish in time.
+    fn late(&self, now: Instant, service: &id::Service) -> Option<id::Request> {
         let is_late = |request: &&Request| {
             let slack = request.deadline.saturating_duration_since(now);
             let best = self.best_time(now, request);
-            !self.is_fresh(now, request) && best.is_some_and(|best| best > slack)
+            let hopeless = best.is_some_and(|best| best > slack) && !self.is_fresh(now, request);
+            hopeless || slack.is_zero()
         };
-        let late = self.queues[service].candidates().filter(is_late);
-        let late: Vec<_> = late.map(|request| request.id).collect();
-        for id in late {
-            self.refuse(now, id, Reason::Deadline);
-        }
+        self.queues[service].most_urgent().find(is_late).map(|request| request.id)
     }
 }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -159,21 +159,24 @@
 pub struct Queue {
     levels: BTreeMap<u8, Level>,
     requests: HashMap<id::Request, Request>,
-    deadlines: BTreeSet<(Instant, id::Request)>,
+    deadlines: BTreeMap<Size, BTreeSet<(Instant, id::Request)>>,
 }
 
 impl Queue {
     /// Adds a request.
     pub fn push(&mut self, request: Request) {
         self.levels.entry(request.rank).or_default().push(Flow::of(&request), request.id);
-        self.deadlines.insert((request.deadline, request.id));
+        let size = Size::of(request.prompt);
+        self.deadlines.entry(size).or_default().insert((request.deadline, request.id));
         self.requests.insert(request.id, request);
     }
 
     /// Takes a request out that will not run.
     pub fn remove(&mut self, request: id::Request) -> Option<Request> {
         let request = self.requests.remove(&request)?;
-        self.deadlines.remove(&(request.deadline, request.id));
+        if let Some(deadlines) = self.deadlines.get_mut(&Size::of(request.prompt)) {
+            deadlines.remove(&(request.deadline, request.id));
+        }
         let level = self.levels.get_mut(&request.rank)?;
         level.remove(&Flow::of(&request), request.id);
         Some(request)
@@ -218,13 +221,13 @@
         self.lowest().filter(|request| request.rank > rank)
     }
 
-    /// A request whose deadline is before `time`, the earliest first.
-    pub fn due(&self, time: Instant) -> Option<&Request> {
-        let (deadline, request) = self.deadlines.first()?;
-        if *deadline > time {
-            return None;
-        }
-        self.requests.get(request)
+    /// The request of each size whose deadline comes first.
+    pub fn most_urgent(&self) -> impl Iterator<Item = &Request> {
+        let first = |deadlines: &BTreeSet<(Instant, id::Request)>| {
+            let (_, id) = deadlines.first()?;
+            self.requests.get(id)
+        };
+        self.deadlines.values().filter_map(first)
     }
 
     /// How many requests wait.
