Soak several instances under random faults on virtual time

The soak drives the decision code through kills, pauses, cuts, outages, lost answers and messages, slow, dead and silent upstreams, conflicting operators and drains, and checks the promises from outside besides the ones inside.

--- /dev/null
+++ b/crates/core/examples/soak/faults.rs
@@ -0,0 +1,419 @@
+//! What is done to the site at each step.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rosemarypond_core::claim::Verdict;
+use rosemarypond_core::config::{Document, Refused, Version};
+use rosemarypond_core::event::Event;
+use rosemarypond_core::id;
+use rosemarypond_core::outcome::{Outcome, Reason};
+use rosemarypond_core::request::{Key, Repeat, Request};
+use rosemarypond_core::unit::Tokens;
+
+use crate::checks;
+use crate::site::{MODELS, ORDERS};
+use crate::support::world::{What, World};
+use crate::{STEP, site};
+
+/// The most tries that a caller makes with one key.
+const MAX_TRIES: u32 = 6;
+
+/// Something that is undone later.
+#[derive(Clone, Debug)]
+enum Repair {
+    Boot(usize),
+    Wake(usize),
+    Speed(id::Upstream),
+    Heal(id::Zone),
+    Table,
+    Weather,
+}
+
+/// What callers know of one key.
+pub struct Order {
+    pub tries: Vec<id::Request>,
+    pub told_not_run: bool,
+    key: Key,
+    next_try: Instant,
+    settled: bool,
+}
+
+pub struct Soak {
+    pub faults: u64,
+    pub requests: u64,
+    pub keyed: u64,
+    pub violations: Vec<String>,
+    pub orders: BTreeMap<String, Order>,
+    /// When an upstream was last put out of service, and is so still.
+    pub leaving: BTreeMap<id::Upstream, Instant>,
+    /// When something last kept news from spreading.
+    pub last_trouble: Instant,
+    /// How many of the world's records were looked at.
+    pub seen_told: usize,
+    pub seen_started: usize,
+    pub order_of: BTreeMap<id::Request, String>,
+    rng: ChaCha8Rng,
+    steps_left: u64,
+    repairs: Vec<(Instant, Repair)>,
+    burst_until: Option<Instant>,
+}
+
+impl Soak {
+    pub fn new(seed: u64, steps: u64) -> Self {
+        Self {
+            faults: 0,
+            requests: 0,
+            keyed: 0,
+            violations: Vec::new(),
+            orders: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            last_trouble: Instant::now(),
+            seen_told: 0,
+            seen_started: 0,
+            order_of: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed ^ 0x50a6),
+            steps_left: steps,
+            repairs: Vec::new(),
+            burst_until: None,
+        }
+    }
+
+    pub fn step(&mut self, world: &mut World, _number: u64) {
+        self.steps_left = self.steps_left.saturating_sub(1);
+        if self.steps_left == 0 {
+            self.heal(world);
+        } else {
+            self.repair(world);
+            self.maybe_fault(world);
+            self.arrivals(world);
+        }
+        self.retries(world);
+        self.finish_drains(world);
+        self.note_trouble(world);
+        checks::every_step(world, self);
+        world.after(STEP, What::Own(0));
+    }
+
+    fn later(&mut self, world: &World, most_ms: u64, repair: Repair) {
+        let delay = Duration::from_millis(self.rng.random_range(200..most_ms));
+        self.repairs.push((world.now + delay, repair));
+        self.faults += 1;
+    }
+
+    fn repair(&mut self, world: &mut World) {
+        let (due, left) = self.repairs.drain(..).partition(|(at, _)| *at <= world.now);
+        self.repairs = left;
+        let due: Vec<(Instant, Repair)> = due;
+        for (_, repair) in due {
+            undo(world, repair);
+        }
+    }
+
+    fn heal(&mut self, world: &mut World) {
+        for (_, repair) in std::mem::take(&mut self.repairs) {
+            undo(world, repair);
+        }
+        for node in 0..world.nodes.len() {
+            if world.nodes[node].draining && world.nodes[node].decider.is_some() {
+                world.nodes[node].draining = false;
+                world.handle(node, Event::Undrain);
+            }
+        }
+    }
+
+    fn pick(&mut self, count: usize) -> usize {
+        self.rng.random_range(0..count)
+    }
+
+    fn maybe_fault(&mut self, world: &mut World) {
+        if !self.rng.random_bool(0.15) {
+            return;
+        }
+        match self.pick(12) {
+            0 => self.kill(world),
+            1 => self.pause(world),
+            2 => self.slow_engine(world),
+            3 => self.dead_engine(world),
+            4 => self.silent_engine(world),
+            5 => self.cut(world),
+            6 => self.outage(world),
+            7 => self.weather(world),
+            8 => self.two_operators(world),
+            9 => self.drain(world),
+            10 => self.burst_until = Some(world.now + Duration::from_secs(5)),
+            _ => {
+                self.kill(world);
+                self.outage(world);
+            }
+        }
+    }
+
+    fn kill(&mut self, world: &mut World) {
+        let node = self.pick(world.nodes.len());
+        if world.nodes[node].decider.is_some() {
+            world.kill(node);
+            self.later(world, 8_000, Repair::Boot(node));
+        }
+    }
+
+    fn pause(&mut self, world: &mut World) {
+        let node = self.pick(world.nodes.len());
+        if world.nodes[node].decider.is_some() && !world.nodes[node].paused {
+            world.pause(node);
+            self.later(world, 8_000, Repair::Wake(node));
+        }
+    }
+
+    fn upstream(&mut self, world: &World) -> id::Upstream {
+        let place = self.pick(world.engines.len());
+        world.engines.keys().nth(place).expect("the place is in range").clone()
+    }
+
+    fn slow_engine(&mut self, world: &mut World) {
+        let id = self.upstream(world);
+        let slowdown = self.rng.random_range(2.0..12.0);
+        if let Some(engine) = world.engines.get_mut(&id) {
+            engine.slowdown = slowdown;
+        }
+        self.later(world, 20_000, Repair::Speed(id));
+    }
+
+    fn dead_engine(&mut self, world: &mut World) {
+        let id = self.upstream(world);
+        let engine = world.engines.get_mut(&id).expect("the upstream is known");
+        engine.alive = false;
+        let jobs: Vec<_> = engine.jobs.keys().copied().collect();
+        for job in jobs {
+            world.end_job(&id, job, Some(rosemarypond_core::claim::Ended::Broken));
+        }
+        self.later(world, 10_000, Repair::Speed(id));
+    }
+
+    fn silent_engine(&mut self, world: &mut World) {
+        let id = self.upstream(world);
+        if let Some(engine) = world.engines.get_mut(&id) {
+            engine.silent = true;
+        }
+        self.later(world, 10_000, Repair::Speed(id));
+    }
+
+    fn cut(&mut self, world: &mut World) {
+        let zone = world.nodes[self.pick(world.nodes.len())].zone.clone();
+        world.cut_zones.insert(zone.clone());
+        self.later(world, 15_000, Repair::Heal(zone));
+    }
+
+    fn outage(&mut self, world: &mut World) {
+        world.table.down = true;
+        self.later(world, 15_000, Repair::Table);
+    }
+
+    fn weather(&mut self, world: &mut World) {
+        world.weather.lost_answers = self.rng.random_range(0.0..0.4);
+        world.weather.lost_messages = self.rng.random_range(0.0..0.4);
+        world.weather.table = Duration::from_millis(self.rng.random_range(2..800));
+        self.later(world, 20_000, Repair::Weather);
+    }
+
+    /// Two operators change the same version; one has to be told so.
+    fn two_operators(&mut self, world: &mut World) {
+        self.faults += 1;
+        let (seen, document) = match &world.table.config {
+            Some((version, document)) => (*version, Document::clone(document)),
+            None => (Version::default(), site::document()),
+        };
+        let first = self.toggled(&document);
+        let second = self.toggled(&document);
+        let down = world.table.down;
+        let won = world.table.configure(seen, first.clone());
+        let won_too = world.table.configure(seen, second);
+        if won == down || won_too {
+            self.violations.push("two operators were both told that they won".into());
+        }
+        if won {
+            self.note_leaving(world.now, &first);
+        }
+    }
+
+    fn toggled(&mut self, document: &Document) -> Document {
+        let mut document = document.clone();
+        let place = self.pick(document.upstreams.len());
+        let upstream = &mut document.upstreams[place];
+        upstream.leaving = !upstream.leaving;
+        document
+    }
+
+    fn note_leaving(&mut self, now: Instant, document: &Document) {
+        for upstream in &document.upstreams {
+            if upstream.leaving {
+                self.leaving.entry(upstream.id.clone()).or_insert(now);
+            } else {
+                self.leaving.remove(&upstream.id);
+            }
+        }
+    }
+
+    fn drain(&mut self, world: &mut World) {
+        let node = self.pick(world.nodes.len());
+        if world.nodes[node].decider.is_some() && !world.nodes[node].paused {
+            self.faults += 1;
+            world.nodes[node].draining = true;
+            world.handle(node, Event::Drain);
+        }
+    }
+
+    /// Ends drained instances and starts them anew.
+    fn finish_drains(&mut self, world: &mut World) {
+        for node in 0..world.nodes.len() {
+            if world.nodes[node].draining && checks::is_idle(world, node) {
+                checks::drained(world, self, node);
+                world.kill(node);
+                world.boot(node);
+            }
+        }
+    }
+
+    fn note_trouble(&mut self, world: &World) {
+        let quiet = world.cut_zones.is_empty()
+            && !world.table.down
+            && world.weather.lost_messages == 0.0
+            && world.nodes.iter().all(|n| n.decider.is_some() && !n.paused);
+        if !quiet {
+            self.last_trouble = world.now;
+        }
+    }
+
+    fn arrivals(&mut self, world: &mut World) {
+        let is_burst = self.burst_until.is_some_and(|until| world.now < until);
+        let most = if is_burst { 30 } else { 5 };
+        for _ in 0..self.rng.random_range(0..most) {
+            match self.pick(4) {
+                0 => self.order(world),
+                1 => self.unkeyed(world),
+                _ => self.completion(world),
+            }
+        }
+    }
+
+    fn place(&mut self, world: &World) -> Option<usize> {
+        let up: Vec<_> =
+            (0..world.nodes.len()).filter(|n| world.nodes[*n].decider.is_some()).collect();
+        (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())])
+    }
+
+    fn request(&mut self, world: &mut World, service: &str, repeat: Repeat) -> Request {
+        let prompt = if service == MODELS { self.rng.random_range(20..6_000) } else { 0 };
+        let rank = self.rng.random_range(0..3);
+        let deadline = site::document().tiers[usize::from(rank)].deadline();
+        Request {
+            id: world.next_id(),
+            team: "osei".parse().expect("a valid id"),
+            rank,
+            service: service.parse().expect("a valid id"),
+            repeat,
+            refused: if self.rng.random_bool(0.5) { Refused::CloseKey } else { Refused::KeepKey },
+            prompt: Tokens(prompt),
+            prefix: (0..u64::from(prompt / 64).min(8)).collect(),
+            max_answer: None,
+            arrived: world.now,
+            deadline: world.now + deadline,
+        }
+    }
+
+    fn completion(&mut self, world: &mut World) {
+        let Some(node) = self.place(world) else { return };
+        let request = self.request(world, MODELS, Repeat::Idempotent);
+        self.requests += 1;
+        let tokens = self.rng.random_range(5..400);
+        world.arrive(node, request, tokens);
+    }
+
+    fn unkeyed(&mut self, world: &mut World) {
+        let Some(node) = self.place(world) else { return };
+        let request = self.request(world, ORDERS, Repeat::Once);
+        self.requests += 1;
+        self.keyed += 1;
+        world.arrive(node, request, 20);
+    }
+
+    fn order(&mut self, world: &mut World) {
+        self.keyed += 1;
+        let text = format!("order-{}", self.keyed);
+        let key = Key { team: "osei".parse().expect("a valid id"), text: text.clone(), fingerprint: 1 };
+        let order = Order {
+            tries: Vec::new(),
+            told_not_run: false,
+            key,
+            next_try: world.now,
+            settled: false,
+        };
+        self.orders.insert(text, order);
+    }
+
+    /// Callers try open orders again, each time at another instance.
+    fn retries(&mut self, world: &mut World) {
+        let now = world.now;
+        let due: Vec<_> = self
+            .orders
+            .iter()
+            .filter(|(_, o)| !o.settled && o.next_try <= now && o.tries.len() < MAX_TRIES as usize)
+            .map(|(text, o)| (text.clone(), o.key.clone()))
+            .collect();
+        for (text, key) in due {
+            let Some(node) = self.place(world) else { return };
+            let request = self.request(world, ORDERS, Repeat::Keyed(key));
+            self.requests += 1;
+            let wait = Duration::from_millis(self.rng.random_range(100..9_000));
+            self.order_of.insert(request.id, text.clone());
+            if let Some(order) = self.orders.get_mut(&text) {
+                order.tries.push(request.id);
+                order.next_try = now + wait;
+            }
+            world.arrive(node, request, 20);
+        }
+    }
+
+    /// Takes note of what a caller was told.
+    pub fn told(&mut self, request: id::Request, verdict: Verdict) {
+        let Some(text) = self.order_of.get(&request) else { return };
+        let Some(order) = self.orders.get_mut(text) else { return };
+        match verdict {
+            Verdict::Deliver | Verdict::Replay => order.settled = true,
+            Verdict::Refuse(Outcome::NotRun, _) => order.told_not_run = true,
+            Verdict::Refuse(_, Reason::KeyReused) => {
+                self.violations.push(format!("{text} was called reused"));
+            }
+            Verdict::Refuse(..) => {}
+        }
+    }
+}
+
+fn undo(world: &mut World, repair: Repair) {
+    match repair {
+        Repair::Boot(node) => {
+            if world.nodes[node].decider.is_none() {
+                world.boot(node);
+            }
+        }
+        Repair::Wake(node) => world.wake(node),
+        Repair::Speed(id) => {
+            if let Some(engine) = world.engines.get_mut(&id) {
+                engine.slowdown = 1.0;
+                engine.alive = true;
+                engine.silent = false;
+            }
+        }
+        Repair::Heal(zone) => {
+            world.cut_zones.remove(&zone);
+        }
+        Repair::Table => world.table.down = false,
+        Repair::Weather => {
+            world.weather.lost_answers = 0.0;
+            world.weather.lost_messages = 0.0;
+            world.weather.table = Duration::from_millis(4);
+        }
+    }
+}
--- a/crates/core/examples/support/world.rs
+++ b/crates/core/examples/support/world.rs
@@ -108,6 +108,11 @@
     CallerTimeout {
         request: id::Request,
     },
+    /// The instance gives a call up that has run past its limit.
+    CallLimit {
+        upstream: id::Upstream,
+        job: u64,
+    },
     Publish {
         upstream: id::Upstream,
     },
@@ -123,9 +128,13 @@
     pub tell: bool,
 }
 
+/// How long past its deadline a call may run.
+const CALL_GRACE: Duration = Duration::from_secs(5);
+
 pub struct Caller {
     pub request: Request,
     pub node: usize,
+    pub life: u64,
     pub tokens: u32,
     pub first: bool,
     pub answered: Option<Verdict>,
@@ -314,6 +323,7 @@
         let caller = Caller {
             request: request.clone(),
             node: place,
+            life: self.nodes[place].life,
             tokens,
             first: false,
             answered: None,
@@ -495,6 +505,8 @@
             first_sent: false,
         };
         let now = self.now;
+        let limit = job.request.deadline.saturating_duration_since(now) + CALL_GRACE;
+        self.after(limit, What::CallLimit { upstream: upstream.clone(), job: number });
         let engine = self.engines.get_mut(&upstream).expect("the upstream is known");
         let started = engine.admit(number, job, now);
         self.started(&upstream, started);
@@ -694,6 +706,9 @@
             What::Stop { node, life, request } => self.stop(node, life, request),
             What::Write { node, life, request, write } => self.write(node, life, request, write),
             What::CallerTimeout { request } => self.caller_timeout(request),
+            What::CallLimit { upstream, job } => {
+                self.end_job(&upstream, job, Some(Ended::Broken));
+            }
             What::Publish { upstream } => self.publish(&upstream),
             What::Own(number) => {
                 if let Some(hook) = self.hook.clone() {
