Lend slots as leases that end by themselves

Cause: a slot count was raised by one message and lowered by another; a lost Return left it raised for good, a borrower that had lost its lender's Lend was owed nothing, and a slot on a leaving upstream was never returned. Ruled out: instance deaths, which already settled the counts.

Each lent slot now has an end on both sides (30 s); unused slots are returned also where the upstream is closed.

--- a/crates/core/examples/soak/faults.rs
+++ b/crates/core/examples/soak/faults.rs
@@ -342,7 +342,8 @@
     fn order(&mut self, world: &mut World) {
         self.keyed += 1;
         let text = format!("order-{}", self.keyed);
-        let key = Key { team: "osei".parse().expect("a valid id"), text: text.clone(), fingerprint: 1 };
+        let key =
+            Key { team: "osei".parse().expect("a valid id"), text: text.clone(), fingerprint: 1 };
         let order = Order {
             tries: Vec::new(),
             told_not_run: false,
--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -375,6 +375,7 @@
 
     fn tick(&mut self, now: Instant) {
         self.expire_peers(now);
+        self.expire_leases(now);
         if self.last_heartbeat.is_none_or(|at| now - at >= crate::member::HEARTBEAT_INTERVAL) {
             self.heartbeat(now);
         }
--- a/crates/core/src/instance/peers.rs
+++ b/crates/core/src/instance/peers.rs
@@ -45,14 +45,14 @@
 
     /// Ends what a peer that is gone had lent or borrowed.
     fn settle_slots(&mut self, slots: &Slots) {
-        for (upstream, count) in &slots.lent {
+        for (upstream, count) in slots.lent.counts() {
             if let Some(engine) = self.engines.get_mut(upstream) {
-                engine.lent = engine.lent.saturating_sub(*count);
+                engine.lent = engine.lent.saturating_sub(count);
             }
         }
-        for (upstream, count) in &slots.borrowed {
+        for (upstream, count) in slots.borrowed.counts() {
             if let Some(engine) = self.engines.get_mut(upstream) {
-                engine.borrowed = engine.borrowed.saturating_sub(*count);
+                engine.borrowed = engine.borrowed.saturating_sub(count);
             }
         }
     }
--- a/crates/core/src/instance/room.rs
+++ b/crates/core/src/instance/room.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, Instant};
 
 use super::{Instance, Stage};
-use crate::engine::Sharing;
+use crate::engine::{Engine, Sharing};
 use crate::event::Action;
 use crate::id;
-use crate::member::{Body, Load};
+use crate::member::{Body, LEASE, Load};
 use crate::outcome::Reason;
 use crate::timeline::Subject;
 
@@ -133,7 +133,7 @@
         upstream: &id::Upstream,
     ) {
         let Some(peer) = self.members.get_mut(to) else { return };
-        *peer.lent.entry(upstream.clone()).or_default() += 1;
+        peer.lent.add(upstream.clone(), now + LEASE);
         let loads = peer.heartbeat.loads.iter_mut();
         let need = |l: &&mut Load| l.service == *service && l.rank < rank && l.waiting > 0;
         if let Some(load) = loads.filter(need).min_by_key(|l| l.rank) {
@@ -149,20 +149,17 @@
     /// Takes a slot that a peer lent.
     pub(super) fn borrow(&mut self, now: Instant, from: &id::Instance, upstream: id::Upstream) {
         let Some(peer) = self.members.get_mut(from) else { return };
-        *peer.borrowed.entry(upstream.clone()).or_default() += 1;
-        if let Some(engine) = self.engines.get_mut(&upstream) {
-            engine.borrowed += 1;
-        }
+        let Some(engine) = self.engines.get_mut(&upstream) else { return };
+        engine.borrowed += 1;
+        peer.borrowed.add(upstream, now + LEASE);
         self.schedule_all(now);
     }
 
     /// Takes a slot back that a peer returned.
     pub(super) fn take_back(&mut self, now: Instant, from: &id::Instance, upstream: &id::Upstream) {
         let Some(peer) = self.members.get_mut(from) else { return };
-        let Some(lent) = peer.lent.get_mut(upstream) else { return };
-        *lent -= 1;
-        if *lent == 0 {
-            peer.lent.remove(upstream);
+        if !peer.lent.end(upstream) {
+            return;
         }
         if let Some(engine) = self.engines.get_mut(upstream) {
             engine.lent = engine.lent.saturating_sub(1);
@@ -172,36 +169,45 @@
 
     /// Returns one borrowed slot of an upstream, if there is one.
     pub(super) fn return_slot(&mut self, now: Instant, upstream: &id::Upstream) {
-        let lender = self.members.iter().find(|(_, p)| p.borrowed.contains_key(upstream));
+        let lender = self.members.iter().find(|(_, p)| p.borrowed.has(upstream));
         let Some(lender) = lender.map(|(id, _)| id.clone()) else { return };
         let Some(peer) = self.members.get_mut(&lender) else { return };
-        if let Some(count) = peer.borrowed.get_mut(upstream) {
-            *count -= 1;
-            if *count == 0 {
-                peer.borrowed.remove(upstream);
-            }
-        }
+        peer.borrowed.end(upstream);
         if let Some(engine) = self.engines.get_mut(upstream) {
             engine.borrowed = engine.borrowed.saturating_sub(1);
         }
         self.send(now, lender, Body::Return { upstream: upstream.clone() });
     }
 
-    /// Lends room that nobody here waits for, and returns what is not used.
+    /// Ends the leases that are over.
+    pub(super) fn expire_leases(&mut self, now: Instant) {
+        let (lent, borrowed) = self.members.expire_leases(now);
+        for upstream in lent {
+            if let Some(engine) = self.engines.get_mut(&upstream) {
+                engine.lent = engine.lent.saturating_sub(1);
+            }
+        }
+        for upstream in borrowed {
+            if let Some(engine) = self.engines.get_mut(&upstream) {
+                engine.borrowed = engine.borrowed.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Returns what is not used, and lends room that nobody here waits for.
     pub(super) fn give_back(&mut self, now: Instant) {
         if self.options.sharing != Sharing::Lent {
             return;
         }
         let place = self.place();
-        let idle = |e: &&crate::engine::Engine| {
-            let waits = self.queues.get(&e.entry.service).is_some_and(|q| !q.is_empty());
-            !waits && e.is_open(now) && e.room(Sharing::Lent, place) > 0
-        };
-        let idle: Vec<_> = self.engines.values().filter(idle).map(|e| e.entry.clone()).collect();
-        for entry in idle {
+        let unused = |e: &&Engine| e.room(Sharing::Lent, place) > 0 && !self.is_awaited(now, e);
+        let unused: Vec<_> =
+            self.engines.values().filter(unused).map(|e| e.entry.clone()).collect();
+        for entry in unused {
             if self.engines[&entry.id].borrowed > 0 {
                 self.return_slot(now, &entry.id);
-            } else if entry.zone == self.options.identity.zone
+            } else if self.engines[&entry.id].is_open(now)
+                && entry.zone == self.options.identity.zone
                 && let Some(peer) = self.peer_in_need(&entry.service, u8::MAX)
             {
                 self.lend(now, &peer, &entry.service, u8::MAX, &entry.id);
@@ -209,6 +215,12 @@
         }
     }
 
+    /// Whether a request waits that could run on an upstream.
+    fn is_awaited(&self, now: Instant, engine: &Engine) -> bool {
+        let queue = self.queues.get(&engine.entry.service);
+        engine.is_open(now) && queue.is_some_and(|queue| !queue.is_empty())
+    }
+
     pub(super) fn send(&mut self, now: Instant, to: id::Instance, body: Body) {
         let message = self.message(now, body);
         self.actions.push(Action::Send { to, message });
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -1,6 +1,6 @@
 //! The other entry instances, as one instance knows them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use crate::config;
@@ -13,6 +13,8 @@
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// A peer that was not heard for this long is taken to be gone.
 pub const SILENCE: Duration = Duration::from_secs(3);
+/// How long a lent slot may be used before it is the lender's again.
+pub const LEASE: Duration = Duration::from_secs(30);
 
 /// How much of one service and tier an instance holds.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -97,10 +99,53 @@
     pub heard: Instant,
     /// What it said of itself.
     pub heartbeat: Heartbeat,
-    /// Slots by upstream that were lent to it.
-    pub lent: BTreeMap<id::Upstream, u32>,
-    /// Slots by upstream that it lent to this instance.
-    pub borrowed: BTreeMap<id::Upstream, u32>,
+    /// Slots that were lent to it.
+    pub lent: Leases,
+    /// Slots that it lent to this instance.
+    pub borrowed: Leases,
+}
+
+/// Slots by upstream, each with the time at which its lease ends.
+///
+/// A lease ends by itself, so that a lost message costs a slot for a while
+/// only.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Leases(BTreeMap<id::Upstream, VecDeque<Instant>>);
+
+impl Leases {
+    /// Adds a slot until `end`.
+    pub fn add(&mut self, upstream: id::Upstream, end: Instant) {
+        self.0.entry(upstream).or_default().push_back(end);
+    }
+
+    /// Ends the oldest lease of an upstream's slot; says whether there was one.
+    pub fn end(&mut self, upstream: &id::Upstream) -> bool {
+        let ended = self.0.get_mut(upstream).and_then(VecDeque::pop_front);
+        self.0.retain(|_, ends| !ends.is_empty());
+        ended.is_some()
+    }
+
+    /// Whether a slot of an upstream is leased.
+    pub fn has(&self, upstream: &id::Upstream) -> bool {
+        self.0.contains_key(upstream)
+    }
+
+    /// Ends the leases that are over and gives a name for each.
+    pub fn expire(&mut self, now: Instant) -> Vec<id::Upstream> {
+        let mut over = Vec::new();
+        for (upstream, ends) in &mut self.0 {
+            let before = ends.len();
+            ends.retain(|end| *end > now);
+            over.extend(std::iter::repeat_n(upstream.clone(), before - ends.len()));
+        }
+        self.0.retain(|_, ends| !ends.is_empty());
+        over
+    }
+
+    /// The upstreams with how many slots are leased.
+    pub fn counts(&self) -> impl Iterator<Item = (&id::Upstream, u32)> {
+        self.0.iter().map(|(upstream, ends)| (upstream, ends.len() as u32))
+    }
 }
 
 /// What hearing a message changed.
@@ -117,10 +162,10 @@
 /// Slots that were lent to and borrowed from a peer that is gone.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Slots {
-    /// Slots by upstream that were lent to it.
-    pub lent: BTreeMap<id::Upstream, u32>,
-    /// Slots by upstream that it had lent.
-    pub borrowed: BTreeMap<id::Upstream, u32>,
+    /// Slots that were lent to it.
+    pub lent: Leases,
+    /// Slots that it had lent.
+    pub borrowed: Leases,
 }
 
 /// The peers of an instance.
@@ -160,8 +205,8 @@
             zone: message.zone.clone(),
             heard: now,
             heartbeat,
-            lent: BTreeMap::new(),
-            borrowed: BTreeMap::new(),
+            lent: Leases::default(),
+            borrowed: Leases::default(),
         };
         let former = self.peers.insert(message.from.clone(), peer);
         former.map_or_else(Slots::default, |p| Slots { lent: p.lent, borrowed: p.borrowed })
@@ -192,6 +237,14 @@
         self.peers.iter().filter(move |(_, p)| p.zone == *zone)
     }
 
+    /// Ends the leases that are over.
+    pub fn expire_leases(&mut self, now: Instant) -> (Vec<id::Upstream>, Vec<id::Upstream>) {
+        let peers = self.peers.values_mut();
+        let ended = peers.map(|p| (p.lent.expire(now), p.borrowed.expire(now)));
+        let (lent, borrowed): (Vec<_>, Vec<_>) = ended.unzip();
+        (lent.concat(), borrowed.concat())
+    }
+
     /// A peer that is heard.
     pub fn get_mut(&mut self, id: &id::Instance) -> Option<&mut Peer> {
         self.peers.get_mut(id)
--- /dev/null
+++ b/crates/daemon/tests/faults.rs
@@ -0,0 +1,286 @@
+//! Kills, freezes, outages and cuts against real processes.
+
+mod support;
+
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+use support::{Answer, OTHER_TEAM, Site, TEAM, complete, get, order_at, prompt, send};
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {
+        $(#[test] fn $name() { $body })*
+    };
+}
+
+/// Starts an order in a thread of its own and waits until it runs.
+fn running_order(
+    site: &Site,
+    place: usize,
+    key: &'static str,
+) -> thread::JoinHandle<Option<Answer>> {
+    let to = site.daemons[place].http;
+    let order = thread::spawn(move || order_at(to, key));
+    site.wait_until("the order runs", |site| site.runs(key) == 1);
+    order
+}
+
+fn is_unknown(answer: &Answer) -> bool {
+    answer.status == 409 && answer.outcome() == "unknown" && answer.header("retry-after").is_some()
+}
+
+fn kill_during_dispatch() {
+    let mut site = Site::start(&["accra-a", "accra-b"]);
+    site.set_delay(1_500);
+    let order = running_order(&site, 0, "killed");
+    site.daemons.remove(0);
+    let first = order.join().expect("the caller does not panic");
+    assert!(first.is_none_or(|answer| answer.status != 200));
+    let retry = site.order(0, "killed").expect("an answer");
+    assert!(is_unknown(&retry), "{}", retry.body);
+    assert_eq!(site.runs("killed"), 1);
+}
+
+fn kill_before_dispatch() {
+    let mut site = Site::start(&["accra-a", "accra-b"]);
+    site.platform_faults(&json!({ "slow_ms": 700 }));
+    let to = site.daemons[0].http;
+    let order = thread::spawn(move || order_at(to, "early"));
+    // The first read of the record takes 700 ms: nothing is claimed yet.
+    thread::sleep(Duration::from_millis(200));
+    site.daemons.remove(0);
+    let _ = order.join();
+    site.platform_faults(&json!({}));
+    let retry = site.order(0, "early").expect("an answer");
+    assert_eq!((retry.status, site.runs("early")), (200, 1), "{}", retry.body);
+}
+
+fn kill_after_answer() {
+    let mut site = Site::start(&["accra-a", "accra-b"]);
+    assert_eq!(site.order(0, "late").expect("an answer").status, 200);
+    site.daemons.remove(0);
+    let retry = site.order(0, "late").expect("an answer");
+    assert!(retry.status == 200 || is_unknown(&retry), "{}", retry.body);
+    assert_eq!(site.runs("late"), 1);
+}
+
+fn freeze_during_dispatch() {
+    let site = Site::start(&["accra-a", "accra-b"]);
+    site.set_delay(800);
+    let order = running_order(&site, 0, "frozen");
+    site.daemons[0].process.signal("STOP");
+    thread::sleep(Duration::from_millis(1_200));
+    let retry = site.order(1, "frozen").expect("an answer");
+    assert!(is_unknown(&retry), "{}", retry.body);
+    site.daemons[0].process.signal("CONT");
+    let first = order.join().expect("the caller does not panic").expect("an answer");
+    assert_eq!(first.status, 200);
+    site.wait_until("the retry gets the kept answer", |site| {
+        site.order(1, "frozen").is_some_and(|a| a.status == 200 && a.body == first.body)
+    });
+    assert_eq!(site.runs("frozen"), 1);
+}
+
+fn drain_under_load() {
+    let mut site = Site::start(&["accra-a", "accra-a"]);
+    site.engine_behaviour(0, &json!({ "token_ms": 60 }));
+    let to = site.daemons[0].http;
+    let stream = thread::spawn(move || complete(to, TEAM, &prompt("In memory of Efua", 30, true)));
+    site.wait_until("the stream runs", |site| {
+        let running = site.operate(0, "/operator/query", "count running over instance").json();
+        running["count"] == 1
+    });
+    site.daemons[0].process.signal("TERM");
+    site.wait_until("it is not ready", |site| !site.daemons[0].is_ready());
+    let refused = get(to, "/orders/1", Some(TEAM));
+    if let Some(refused) = refused {
+        assert_eq!((refused.status, refused.outcome().as_str()), (503, "not-run"));
+    }
+    let whole = stream.join().expect("the caller does not panic").expect("an answer");
+    assert_eq!(whole.body.matches("data: {").count(), 30, "{}", whole.body);
+    assert!(whole.body.ends_with("data: [DONE]\n\n"));
+    assert_eq!(site.daemons[0].process.wait(), 0);
+    assert_eq!(site.order(1, "after").expect("an answer").status, 200);
+}
+
+fn platform_gone_and_back() {
+    let site = Site::start(&["accra-a"]);
+    site.platform_faults(&json!({ "down": true }));
+    let refused = site.order(0, "outage").expect("an answer");
+    assert_eq!((refused.status, refused.outcome().as_str()), (503, "unknown"));
+    let draft = complete(site.daemons[0].http, TEAM, &prompt("In memory", 4, true));
+    assert!(draft.expect("an answer").body.contains("[DONE]"));
+    site.platform_faults(&json!({}));
+    site.wait_until("orders run again", |site| {
+        site.order(0, "outage").is_some_and(|answer| answer.status == 200)
+    });
+    assert_eq!(site.runs("outage"), 1);
+}
+
+fn lost_answer_of_the_claim() {
+    let site = Site::start(&["accra-a"]);
+    site.platform_faults(&json!({ "lost_answers": 1 }));
+    let answer = site.order(0, "lost").expect("an answer");
+    assert_eq!((answer.status, site.runs("lost")), (200, 1), "{}", answer.body);
+}
+
+fn zone_cut() {
+    let site = Site::start(&["accra-a", "accra-b"]);
+    // From accra-b nothing but its own zone moves any more.
+    site.platform.signal("STOP");
+    site.daemons[0].process.signal("STOP");
+    let draft = complete(site.daemons[1].http, TEAM, &prompt("In memory", 4, true));
+    assert!(draft.expect("an answer").body.contains("[DONE]"));
+    let refused = site.order(1, "cut").expect("an answer");
+    assert_eq!(refused.outcome(), "unknown");
+    let silent = site.operate(1, "/operator/query", "count config over all").json();
+    assert_eq!((&silent["count"], &silent["silent"]), (&json!(1), &json!(["i0"])));
+    site.platform.signal("CONT");
+    site.daemons[0].process.signal("CONT");
+    site.wait_until("orders run again", |site| {
+        site.order(1, "cut").is_some_and(|answer| answer.status == 200)
+    });
+    assert_eq!(site.runs("cut"), 1);
+}
+
+fn broken_stream() {
+    let site = Site::start(&["accra-a"]);
+    site.engine_behaviour(0, &json!({ "breaks": 1 }));
+    let answer = complete(site.daemons[0].http, TEAM, &prompt("In memory of Efua", 8, true));
+    let body = answer.expect("an answer").body;
+    assert_eq!(body.matches("data: {").count(), 8, "{body}");
+    assert!(body.ends_with("data: [DONE]\n\n"), "{body}");
+}
+
+fn silent_stream() {
+    let site = Site::start(&["accra-a"]);
+    site.engine_behaviour(0, &json!({ "token_ms": 100 }));
+    let to = site.daemons[0].http;
+    let stream = thread::spawn(move || complete(to, TEAM, &prompt("In memory of Efua", 40, true)));
+    site.wait_until("the stream runs", |site| {
+        let running = site.operate(0, "/operator/query", "count running over instance").json();
+        running["count"] == 1
+    });
+    thread::sleep(Duration::from_millis(500));
+    site.engine_behaviour(0, &json!({ "token_ms": 100, "silent": true }));
+    let body = stream.join().expect("the caller does not panic").expect("an answer").body;
+    assert!(body.contains("event: error"), "{body}");
+    assert!(body.contains("\"outcome\":\"ran-in-part\""), "{body}");
+}
+
+fn stream_through_another_instance() {
+    let mut site = Site::start(&["accra-a", "accra-b"]);
+    let to = site.daemons[0].http;
+    let whole = complete(to, TEAM, &prompt("In memory of Efua", 8, true)).expect("an answer");
+    let token = whole.header("rosemarypond-resume").expect("a resume token").to_owned();
+    site.daemons.remove(0);
+    let resume = |credential: &str, token: &str| {
+        let bearer = format!("Bearer {credential}");
+        let headers = [("Authorization", bearer.as_str()), ("Rosemarypond-Resume", token)];
+        send("GET", site.daemons[0].http, "/v1/resume?from=5", &headers, "").expect("an answer")
+    };
+    let rest = resume(TEAM, &token);
+    assert_eq!(rest.body.matches("data: {").count(), 3, "{}", rest.body);
+    assert!(whole.body.ends_with(&rest.body));
+    assert_eq!(resume(OTHER_TEAM, &token).status, 403);
+    assert_eq!(resume(TEAM, &token.replace('A', "B")).status, 403);
+}
+
+fn two_operators() {
+    let site = Site::start(&["accra-a", "accra-b"]);
+    let set = |place, slots| {
+        let sentence = format!("if version 1 set upstream orders-0 slots {slots}");
+        site.operate(place, "/operator/command", &sentence)
+    };
+    assert_eq!(set(0, 2).status, 200);
+    let late = set(1, 3);
+    assert_eq!((late.status, &late.json()["version"]), (409, &json!(2)), "{}", late.body);
+    site.wait_until("both follow version 2", |site| {
+        let sentence = "count config where version = 2";
+        site.operate(0, "/operator/query", sentence).json()["count"] == 2
+    });
+    let bad = site.operate(0, "/operator/command", "set upstream orders-0 slots 0");
+    assert_eq!(bad.status, 400);
+    assert!(bad.body.contains("1 or more slots"), "{}", bad.body);
+    let dry = site.operate(0, "/operator/command", "dry run set upstream orders-0 slots 9");
+    assert_eq!(dry.json()["difference"].as_array().map(Vec::len), Some(2));
+}
+
+fn upstream_leaves() {
+    let site = Site::start(&["accra-a"]);
+    let answer = site.operate(0, "/operator/command", "drain upstream orders-0");
+    assert_eq!(answer.status, 200);
+    site.wait_until("it counts as leaving", |site| {
+        let sentence = "count upstreams where upstream = orders-0 and state = leaving";
+        site.operate(0, "/operator/query", sentence).json()["count"] == 1
+    });
+    // The other zone's service takes over.
+    assert_eq!(site.order(0, "moved").expect("an answer").status, 200);
+    let runs = get(site.plains[0].address(), "/runs", None).expect("an answer").json();
+    assert_eq!(runs, json!({}));
+}
+
+fn configuration_from_a_peer() {
+    let mut site = Site::start(&["accra-a", "accra-b"]);
+    let linked = |site: &Site| {
+        let members = site.operate(0, "/operator/query", "count members over instance").json();
+        members["count"] == 1
+    };
+    site.wait_until("the peers hear each other", linked);
+    // An instance that cannot read the table any more gets news from a peer.
+    let platform = site.platform.address();
+    site.document["tiers"][1]["deadline_ms"] = json!(19_000);
+    site.put_config(1);
+    site.wait_until("all follow version 2", |site| {
+        let sentence = "count config where version = 2";
+        site.operate(1, "/operator/query", sentence).json()["count"] == 2
+    });
+    assert_eq!(platform, site.platform.address());
+}
+
+fn caller_leaves() {
+    let site = Site::start(&["accra-a"]);
+    site.engine_behaviour(0, &json!({ "token_ms": 50 }));
+    let to = site.daemons[0].http;
+    let body = prompt("In memory of Efua", 400, true);
+    {
+        use std::io::{Read, Write};
+        let mut caller = std::net::TcpStream::connect(to).expect("a connection");
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TEAM}\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        caller.write_all(head.as_bytes()).expect("the request is taken");
+        let mut some = [0; 200];
+        caller.read_exact(&mut some).expect("the stream begins");
+    }
+    site.wait_until("the engine's work is stopped", |site| {
+        let load = get(site.engines[0].address(), "/load", None).expect("an answer").json();
+        let held = site.operate(0, "/operator/query", "count requests over instance").json();
+        load["running"] == 0 && held["count"] == 0
+    });
+    let metrics = get(to, "/metrics", None).expect("an answer").body;
+    let wasted =
+        metrics.lines().find(|l| l.starts_with("rosemarypond_wasted_prefill_tokens_total"));
+    assert!(wasted.is_some_and(|line| !line.ends_with(" 0")), "{wasted:?}");
+}
+
+cases! {
+    payment_killed_before_dispatch => kill_before_dispatch();
+    payment_killed_during_dispatch => kill_during_dispatch();
+    payment_killed_after_answer => kill_after_answer();
+    payment_frozen_during_dispatch => freeze_during_dispatch();
+    instance_drained_under_load => drain_under_load();
+    platform_down_and_up => platform_gone_and_back();
+    claim_answer_lost => lost_answer_of_the_claim();
+    zone_cut_off => zone_cut();
+    stream_broken => broken_stream();
+    stream_silent => silent_stream();
+    stream_resumed_elsewhere => stream_through_another_instance();
+    operators_in_conflict => two_operators();
+    leaving_upstream => upstream_leaves();
+    configuration_spreads => configuration_from_a_peer();
+    caller_gone => caller_leaves();
+}
