Count only work that may be cut off in the soak's check of shed order

Running non-idempotent work is never cut off, so the case is allowed; the check now counts waiting work and running work that may be cancelled. Requests whose caller has been answered are shown as ending, no longer as waiting. An instance ignores messages in its own name.

--- a/crates/core/examples/soak/checks.rs
+++ b/crates/core/examples/soak/checks.rs
@@ -4,7 +4,7 @@
 
 use rosemarypond_core::claim::Verdict;
 use rosemarypond_core::config::Version;
-use rosemarypond_core::instance::Instance;
+use rosemarypond_core::instance::{Instance, RowStage as Stage};
 use rosemarypond_core::outcome::Reason;
 
 use crate::faults::Soak;
@@ -80,7 +80,13 @@
     let peers = (0..world.nodes.len()).filter(|n| world.nodes[*n].zone == *zone);
     let rows = peers.filter_map(|n| instance(world, n)).flat_map(|i| i.rows(world.now));
     let lower = rows.filter(|row| {
-        row.rank > caller.request.rank
+        let could_make_room = match row.stage {
+            Stage::Waiting => true,
+            Stage::Running => row.may_cancel,
+            Stage::Ending => false,
+        };
+        could_make_room
+            && row.rank > caller.request.rank
             && row.service == caller.request.service
             && row.age > Duration::from_secs(2)
     });
--- a/crates/core/src/instance/peers.rs
+++ b/crates/core/src/instance/peers.rs
@@ -14,6 +14,10 @@
 
 impl Instance {
     pub(super) fn heard(&mut self, now: Instant, message: Message) {
+        // Another instance that was given this one's name is no peer.
+        if message.from == self.options.identity.id {
+            return;
+        }
         self.clock.observe(message.stamp);
         match self.members.hear(&message, now) {
             Change::Stale => return,
--- a/crates/core/src/instance/view.rs
+++ b/crates/core/src/instance/view.rs
@@ -59,6 +59,8 @@
     Waiting,
     /// It runs.
     Running,
+    /// Its caller has the final answer, or is about to.
+    Ending,
 }
 
 /// A request that is held, as operators see it.
@@ -136,13 +138,16 @@
         let row = |held: &super::Held| {
             let (stage, upstream) = match &held.stage {
                 super::Stage::Running(run) => (Stage::Running, Some(run.upstream.clone())),
+                super::Stage::Cancelled(run) => (Stage::Ending, Some(run.upstream.clone())),
                 super::Stage::Claiming(upstream) => (Stage::Waiting, Some(upstream.clone())),
-                _ => (Stage::Waiting, None),
+                super::Stage::Reading | super::Stage::Queued => (Stage::Waiting, None),
+                super::Stage::Writing => (Stage::Ending, None),
             };
             let request = &held.request;
             Row {
                 request: request.id,
                 stage,
+                may_cancel: request.repeat.may_cancel(),
                 rank: request.rank,
                 team: request.team.clone(),
                 service: request.service.clone(),
--- a/crates/daemon/examples/quickstart.rs
+++ b/crates/daemon/examples/quickstart.rs
@@ -83,6 +83,7 @@
         platform,
         max_requests: 64,
         max_body: Size(1 << 20),
+        idle: Span(Duration::from_secs(30)),
         poll: Span(Duration::from_millis(200)),
     })
 }
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -36,7 +36,10 @@
     };
     let id = gateway.next_id();
     match intake::read(&mut http, id, &document, gateway.settings.max_body.0) {
-        Ok(intake) => run(gateway, http, intake, &document),
+        Ok(intake) => {
+            let _served = gateway.served.begin(http.remote_addr().copied());
+            run(gateway, http, intake, &document);
+        }
         Err(problem) => problem.send(http),
     }
 }
@@ -326,6 +329,7 @@
             return;
         }
     };
+    let _served = gateway.served.begin(http.remote_addr().copied());
     let (sender, notes) = channel();
     let limit = document.tiers.iter().map(|t| t.deadline()).max().unwrap_or_default();
     gateway.agents.resume(grant.request, address, from, limit, 0, sender);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod intake;
 mod problem;
+mod reaper;
 mod stream;
 
 use std::net::TcpListener;
@@ -71,6 +72,7 @@
     pub operate: Operate,
     /// How many requests are held.
     pub active: AtomicUsize,
+    served: reaper::Served,
     next_request: AtomicU64,
 }
 
@@ -83,6 +85,7 @@
             settings,
             operate,
             active: AtomicUsize::new(0),
+            served: reaper::Served::default(),
             next_request: AtomicU64::new(rand::random()),
         }
     }
@@ -99,6 +102,7 @@
     /// Where the socket does not take its options.
     pub fn serve(self: Arc<Self>, listener: TcpListener) -> eyre::Result<()> {
         set_options(&listener).wrap_err("The HTTP socket does not take its options")?;
+        reaper::start(listener.local_addr()?, self.settings.idle.0, self.served.clone())?;
         let server = Server::from_listener(listener, None)
             .map_err(|e| eyre!("The HTTP server cannot start: {e}."))?;
         thread::Builder::new().name("http".into()).spawn(move || {
--- a/crates/daemon/src/operate/query.rs
+++ b/crates/daemon/src/operate/query.rs
@@ -141,7 +141,7 @@
         .map(|row| {
             json!({
                 "request": row.request.to_string(),
-                "stage": match row.stage { RowStage::Waiting => "waiting", RowStage::Running => "running" },
+                "stage": stage_name(row.stage),
                 "tier": tier_name(instance, row.rank),
                 "team": row.team,
                 "service": row.service,
@@ -152,6 +152,14 @@
         .collect()
 }
 
+fn stage_name(stage: RowStage) -> &'static str {
+    match stage {
+        RowStage::Waiting => "waiting",
+        RowStage::Running => "running",
+        RowStage::Ending => "ending",
+    }
+}
+
 fn refused_rows(instance: &Instance) -> Vec<Value> {
     let refused = instance.counters().refused.iter();
     refused
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -147,6 +147,9 @@
     /// The longest request body.
     #[serde(default = "default_max_body")]
     pub max_body: Size,
+    /// How long a caller's connection may be silent while nothing is served on it.
+    #[serde(default = "default_idle")]
+    pub idle: Span,
     /// How often it asks the platform for a new configuration.
     #[serde(default = "default_poll")]
     pub poll: Span,
@@ -160,6 +163,10 @@
     Size(4 << 20)
 }
 
+fn default_idle() -> Span {
+    Span(Duration::from_secs(30))
+}
+
 fn default_poll() -> Span {
     Span(Duration::from_secs(2))
 }
@@ -218,8 +225,10 @@
         if self.max_requests == 0 {
             return Err(("max_requests", "max_requests is 0; expected 1 or more".into()));
         }
-        if self.poll.0.is_zero() {
-            return Err(("poll", "poll is 0 ms; expected 1 ms or more".into()));
+        for (key, span) in [("poll", self.poll), ("idle", self.idle)] {
+            if span.0.is_zero() {
+                return Err((key, format!("{key} is 0 ms; expected 1 ms or more")));
+            }
         }
         Ok(())
     }
