--- a/crates/core/src/instance/view.rs
+++ b/crates/core/src/instance/view.rs
@@ -70,6 +70,8 @@
     pub request: id::Request,
     /// How far it is.
     pub stage: Stage,
+    /// Whether it may be cut off to make room.
+    pub may_cancel: bool,
     /// The rank of its tier.
     pub rank: u8,
     /// Its team.
