--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -207,8 +207,10 @@
         StripComments::new(text.as_bytes())
             .read_to_string(&mut plain)
             .map_err(|e| wrong(text.lines().count(), format!("a comment is not closed ({e})")))?;
-        let settings: Self =
-            serde_json::from_str(&plain).map_err(|e| wrong(e.line(), message_of(&e)))?;
+        let mut json = serde_json::Deserializer::from_str(&plain);
+        let settings: Self = serde_path_to_error::deserialize(&mut json)
+            .map_err(|e| wrong(error_line(&plain, &e), message_of(e.inner())))?;
+        json.end().map_err(|e| wrong(e.line(), message_of(&e)))?;
         settings.check().map_err(|(key, message)| wrong(line_of(&plain, key), message))?;
         Ok(settings)
     }
@@ -234,6 +236,17 @@
     }
 }
 
+/// The line of the key whose value is wrong; the parser's own position may be
+/// behind it.
+fn error_line(text: &str, error: &serde_path_to_error::Error<serde_json::Error>) -> usize {
+    let key = error.path().to_string();
+    let quoted = format!("\"{key}\"");
+    if error.inner().is_data() && text.contains(&quoted) {
+        return line_of(text, &key);
+    }
+    error.inner().line()
+}
+
 fn message_of(error: &serde_json::Error) -> String {
     let text = error.to_string();
     text.split(" at line ").next().unwrap_or(&text).to_owned()
