Make heartbeats half as large and rarer where nothing waits

Cause: 15 loads of a service and tier each repeated the service's name (328 bytes a frame), to 54 peers twice a second. Now a frame holds one entry a service; an instance tells its zone every 500 ms while requests wait and every second otherwise, and one instance of each other zone every second, without loads, since slots are not shared with them.

Figures: frame with 15 loads 153 bytes (328), without 63 (63).

--- a/crates/core/examples/support/world.rs
+++ b/crates/core/examples/support/world.rs
@@ -369,7 +369,7 @@
                 self.after(delay, What::Write { node, life, request, write });
             }
             Action::Send { to, message } => self.send(node, &to, message),
-            Action::Broadcast(body) => self.broadcast(node, body),
+            Action::Broadcast { own_zone, body } => self.broadcast(node, own_zone, body),
         }
     }
 
@@ -439,14 +439,14 @@
         self.after(delay, What::Deliver { node: to, life, event });
     }
 
-    fn broadcast(&mut self, from: usize, body: Body) {
+    fn broadcast(&mut self, from: usize, own_zone: bool, body: Body) {
         let now = self.now;
         let Some(Decider::Ours(instance)) = &mut self.nodes[from].decider else { return };
         let message = instance.message(now, body);
-        let others: Vec<_> = (0..self.nodes.len())
-            .filter(|n| *n != from)
-            .map(|n| self.nodes[n].id.clone())
-            .collect();
+        let is_meant =
+            |n: &usize| *n != from && (self.nodes[*n].zone == self.nodes[from].zone) == own_zone;
+        let others: Vec<_> =
+            (0..self.nodes.len()).filter(is_meant).map(|n| self.nodes[n].id.clone()).collect();
         for to in others {
             self.send(from, &to, message.clone());
         }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -124,6 +124,11 @@
         /// The message.
         message: Message,
     },
-    /// Send a message to every peer that is known.
-    Broadcast(Body),
+    /// Send a message to the peers of the own zone, or of the others.
+    Broadcast {
+        /// Whether it is for the own zone.
+        own_zone: bool,
+        /// What it says.
+        body: Body,
+    },
 }
--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -135,6 +135,7 @@
     nonces: ChaCha8Rng,
     draining: bool,
     last_heartbeat: Option<Instant>,
+    last_far_heartbeat: Option<Instant>,
     counters: Counters,
     actions: Vec<Action>,
 }
@@ -157,6 +158,7 @@
             ring: Ring::new(RING_CAPACITY),
             draining: false,
             last_heartbeat: None,
+            last_far_heartbeat: None,
             counters: Counters::default(),
             actions: Vec::new(),
         }
@@ -376,9 +378,7 @@
     fn tick(&mut self, now: Instant) {
         self.expire_peers(now);
         self.expire_leases(now);
-        if self.last_heartbeat.is_none_or(|at| now - at >= crate::member::HEARTBEAT_INTERVAL) {
-            self.heartbeat(now);
-        }
+        self.beat(now);
         for (service, pace) in &mut self.paces {
             let queue = self.queues.get(service);
             pace.tick(TICK_INTERVAL, |rank, size| queue.map_or(0, |q| q.count_of(rank, size)));
--- a/crates/core/src/instance/peers.rs
+++ b/crates/core/src/instance/peers.rs
@@ -2,14 +2,16 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{Instance, Stage};
 use crate::config::{Document, Version};
 use crate::engine::Engine;
 use crate::event::Action;
 use crate::id;
-use crate::member::{Body, Change, Heartbeat, Load, Message, Slots};
+use crate::member::{
+    Body, Change, HEARTBEAT_INTERVAL, Heartbeat, IDLE_INTERVAL, Load, Message, Slots,
+};
 use crate::timeline::{Stamp, Subject};
 
 impl Instance {
@@ -61,14 +63,35 @@
         }
     }
 
+    /// Tells peers how this instance is, where it is time to.
+    pub(super) fn beat(&mut self, now: Instant) {
+        let since = |last: Option<Instant>| last.map_or(Duration::MAX, |at| now - at);
+        let busy = self.waiting_count() > 0;
+        let interval = if busy { HEARTBEAT_INTERVAL } else { IDLE_INTERVAL };
+        if since(self.last_heartbeat) >= interval {
+            self.heartbeat(now);
+        }
+        if since(self.last_far_heartbeat) >= IDLE_INTERVAL {
+            self.far_heartbeat(now);
+        }
+    }
+
+    /// Tells the own zone what this instance holds.
     pub(super) fn heartbeat(&mut self, now: Instant) {
         self.last_heartbeat = Some(now);
-        let body = Body::Heartbeat(Heartbeat {
-            config: self.version,
-            draining: self.draining,
-            loads: self.loads(),
-        });
-        self.actions.push(Action::Broadcast(body));
+        let body = self.heartbeat_with(self.loads());
+        self.actions.push(Action::Broadcast { own_zone: true, body });
+    }
+
+    /// Tells other zones of the configuration; slots are not shared with them.
+    fn far_heartbeat(&mut self, now: Instant) {
+        self.last_far_heartbeat = Some(now);
+        let body = self.heartbeat_with(Vec::new());
+        self.actions.push(Action::Broadcast { own_zone: false, body });
+    }
+
+    fn heartbeat_with(&self, loads: Vec<Load>) -> Body {
+        Body::Heartbeat(Heartbeat { config: self.version, draining: self.draining, loads })
     }
 
     fn loads(&self) -> Vec<Load> {
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -9,8 +9,10 @@
 use crate::queue::spread;
 use crate::timeline::Stamp;
 
-/// How often an instance tells its peers how it is.
+/// How often an instance tells its zone how it is while requests wait.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// How often it tells its zone while none waits, and other zones at all times.
+pub const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 /// A peer that was not heard for this long is taken to be gone.
 pub const SILENCE: Duration = Duration::from_secs(3);
 /// How long a lent slot may be used before it is the lender's again.
@@ -259,7 +261,7 @@
 }
 
 /// How many instances of each other zone an instance talks to.
-pub const FOREIGN_PEERS: usize = 2;
+pub const FOREIGN_PEERS: usize = 1;
 
 /// The instances that one talks to: all of its own zone, and a few of each
 /// other zone, which differ from instance to instance.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -195,7 +195,7 @@
         let Ok(list) = self.platform.instances() else { return false };
         let peers =
             member::select(&self.own.instance, &self.own.zone, &list, |l| (&l.instance, &l.zone));
-        self.links.set_peers(peers.iter().map(|l| (l.instance.clone(), l.peer)));
+        self.links.set_peers(&self.own.zone, peers);
         *self.listed.lock().expect("no holder panics") = list;
         true
     }
--- a/crates/daemon/src/peer/convert.rs
+++ b/crates/daemon/src/peer/convert.rs
@@ -1,5 +1,7 @@
 //! Between the decisions' messages and the generated frames.
 
+use std::collections::BTreeMap;
+
 use rosemarypond_core::config;
 use rosemarypond_core::id;
 use rosemarypond_core::member::{Body, Heartbeat, Load, Message};
@@ -39,7 +41,7 @@
         Body::Heartbeat(heartbeat) => FrameBody::Heartbeat(peer::Heartbeat {
             config: heartbeat.config.0,
             draining: heartbeat.draining,
-            loads: heartbeat.loads.iter().map(frame_load).collect(),
+            loads: frame_loads(&heartbeat.loads),
         }),
         Body::MakeRoom { service, rank } => FrameBody::MakeRoom(peer::MakeRoom {
             service: service.to_string(),
@@ -56,13 +58,23 @@
     }
 }
 
-fn frame_load(load: &Load) -> peer::Load {
-    peer::Load {
-        service: load.service.to_string(),
-        rank: u32::from(load.rank),
-        waiting: load.waiting,
-        cancellable: load.cancellable,
+/// One entry a service, with a count for each rank up to the lowest.
+fn frame_loads(loads: &[Load]) -> Vec<peer::Load> {
+    let mut frames: BTreeMap<&id::Service, peer::Load> = BTreeMap::new();
+    for load in loads {
+        let frame = frames.entry(&load.service).or_insert_with(|| peer::Load {
+            service: load.service.to_string(),
+            ..peer::Load::default()
+        });
+        let rank = usize::from(load.rank);
+        if frame.waiting.len() <= rank {
+            frame.waiting.resize(rank + 1, 0);
+            frame.cancellable.resize(rank + 1, 0);
+        }
+        frame.waiting[rank] = load.waiting;
+        frame.cancellable[rank] = load.cancellable;
     }
+    frames.into_values().collect()
 }
 
 /// The message that a frame carries; none where it is not well-formed.
@@ -81,7 +93,7 @@
         FrameBody::Heartbeat(heartbeat) => Body::Heartbeat(Heartbeat {
             config: config::Version(heartbeat.config),
             draining: heartbeat.draining,
-            loads: heartbeat.loads.into_iter().map(message_load).collect::<Option<_>>()?,
+            loads: message_loads(heartbeat.loads)?,
         }),
         FrameBody::MakeRoom(room) => {
             Body::MakeRoom { service: room.service.parse().ok()?, rank: room.rank.try_into().ok()? }
@@ -95,11 +107,17 @@
     })
 }
 
-fn message_load(load: peer::Load) -> Option<Load> {
-    Some(Load {
-        service: load.service.parse().ok()?,
-        rank: load.rank.try_into().ok()?,
-        waiting: load.waiting,
-        cancellable: load.cancellable,
-    })
+fn message_loads(frames: Vec<peer::Load>) -> Option<Vec<Load>> {
+    let mut loads = Vec::new();
+    for frame in frames {
+        let service: id::Service = frame.service.parse().ok()?;
+        let counts = frame.waiting.into_iter().zip(frame.cancellable);
+        for (rank, (waiting, cancellable)) in counts.enumerate() {
+            if waiting + cancellable > 0 {
+                let rank = rank.try_into().ok()?;
+                loads.push(Load { service: service.clone(), rank, waiting, cancellable });
+            }
+        }
+    }
+    Some(loads)
 }
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -18,6 +18,8 @@
 use rosemarypond_wire::codec::Codec;
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::platform::Listed;
+
 pub use convert::{frame, message};
 
 /// How long a connection to a peer may take to open.
@@ -47,6 +49,7 @@
 
 struct Link {
     address: SocketAddr,
+    own_zone: bool,
     frames: SyncSender<Frame>,
 }
 
@@ -63,21 +66,22 @@
         Self { links: Arc::default(), traffic }
     }
 
-    /// Links to exactly the peers that are given.
-    pub fn set_peers(&self, peers: impl IntoIterator<Item = (id::Instance, SocketAddr)>) {
-        let wanted: HashMap<_, _> = peers.into_iter().collect();
+    /// Links an instance of `zone` to exactly the peers that are given.
+    pub fn set_peers<'a>(&self, zone: &id::Zone, peers: impl IntoIterator<Item = &'a Listed>) {
+        let wanted: HashMap<_, _> =
+            peers.into_iter().map(|peer| (peer.instance.clone(), peer)).collect();
         let mut links = self.links.lock().expect("no holder panics");
-        links.retain(|id, link| wanted.get(id) == Some(&link.address));
-        for (id, address) in wanted {
-            links.entry(id).or_insert_with(|| self.open(address));
+        links.retain(|id, link| wanted.get(id).is_some_and(|peer| peer.peer == link.address));
+        for (id, peer) in wanted {
+            links.entry(id).or_insert_with(|| self.open(peer.peer, peer.zone == *zone));
         }
     }
 
-    fn open(&self, address: SocketAddr) -> Link {
+    fn open(&self, address: SocketAddr, own_zone: bool) -> Link {
         let (frames, queue) = sync_channel(MAX_QUEUED);
         let traffic = Arc::clone(&self.traffic);
         spawn(move || write_frames(address, &queue, &traffic));
-        Link { address, frames }
+        Link { address, own_zone, frames }
     }
 
     /// Sends a message to one peer.
@@ -88,10 +92,10 @@
         }
     }
 
-    /// Sends a message to every peer.
-    pub fn broadcast(&self, message: &Message) {
+    /// Sends a message to the peers of the own zone, or of the others.
+    pub fn broadcast(&self, own_zone: bool, message: &Message) {
         let links = self.links.lock().expect("no holder panics");
-        for link in links.values() {
+        for link in links.values().filter(|link| link.own_zone == own_zone) {
             self.push(link, frame(message));
         }
     }
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -11,6 +11,7 @@
 use rosemarypond_core::event::{Action, Event};
 use rosemarypond_core::id;
 use rosemarypond_core::instance::{Instance, Options};
+use rosemarypond_core::member::Body;
 use rosemarypond_core::request::{Key, Request};
 use rosemarypond_core::unit::Tokens;
 use slog::{Logger, info};
@@ -298,7 +299,7 @@
                 self.write(request, key, expected, record);
             }
             Action::Send { to, message } => self.border.links.send(&to, &message),
-            Action::Broadcast(body) => self.broadcast(body),
+            Action::Broadcast { own_zone, body } => self.broadcast(own_zone, body),
         }
     }
 
@@ -342,12 +343,12 @@
         let _ = self.table.send(call);
     }
 
-    fn broadcast(&mut self, body: rosemarypond_core::member::Body) {
+    fn broadcast(&mut self, own_zone: bool, body: Body) {
         let now = Instant::now();
         let node = &self.node;
         let message = node.query(&mut self.stakker, |node, _| node.message(now, body));
         if let Some(message) = message {
-            self.border.links.broadcast(&message);
+            self.border.links.broadcast(own_zone, &message);
         }
     }
 
