Keep the configuration in parts, and find teams by an index

Now the document stands in content-named rows of about 256 teams and one for the rest; a change writes its part and the head, and instances read only what they do not know. Ruled out: differences between versions, which an instance that missed one could not follow.

--- a/crates/core/examples/load/workload.rs
+++ b/crates/core/examples/load/workload.rs
@@ -96,10 +96,8 @@
         Document {
             tiers: DEADLINES_S.iter().enumerate().map(tier).collect(),
             teams: (0..TEAM_SHARES.len()).map(team).collect(),
-            operators: Vec::new(),
-            rules: Vec::new(),
             upstreams: self.engines().into_iter().map(|(entry, _)| entry).collect(),
-            resume_secret: None,
+            ..Document::default()
         }
     }
 
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,8 +1,9 @@
 //! The shared configuration, held by the platform's table service.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -157,8 +158,25 @@
     /// Signs resume tokens; without it none are issued.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub resume_secret: Option<String>,
+    /// Where the team with a credential's digest stands.
+    #[serde(skip)]
+    pub team_places: TeamPlaces,
 }
 
+/// Where teams stand by their credential's digest, found when first asked for.
+///
+/// It says nothing of what a document holds: all are equal.
+#[derive(Clone, Debug, Default)]
+pub struct TeamPlaces(OnceLock<HashMap<String, usize>>);
+
+impl PartialEq for TeamPlaces {
+    fn eq(&self, _other: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for TeamPlaces {}
+
 /// Why a document is not accepted.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
@@ -331,7 +349,14 @@
     /// The team that a credential belongs to.
     pub fn team(&self, credential: impl AsRef<str>) -> Option<&Team> {
         let digest = digest(credential.as_ref());
-        self.teams.iter().find(|t| t.credential_sha256 == digest)
+        let places = self.team_places.0.get_or_init(|| self.places());
+        let team = self.teams.get(*places.get(&digest)?)?;
+        (team.credential_sha256 == digest).then_some(team)
+    }
+
+    fn places(&self) -> HashMap<String, usize> {
+        let teams = self.teams.iter().enumerate();
+        teams.map(|(place, team)| (team.credential_sha256.clone(), place)).collect()
     }
 
     /// The operator that a credential belongs to.
--- a/crates/ctl/src/init.rs
+++ b/crates/ctl/src/init.rs
@@ -23,7 +23,7 @@
         .map_err(|e| wrong(&e))?;
     let document = Document::parse(plain).map_err(|e| wrong(&e))?;
     let client = Client::new(platform);
-    let stored = client.put_config(Version::default(), &document, "init", rand::random());
+    let stored = client.put_config(Version::default(), &document, "init");
     stored.map_err(|e| match e {
         rosemarypond::platform::Error::Conflict(version) => Error::Refused {
             status: 409,
--- a/crates/daemon/examples/quickstart.rs
+++ b/crates/daemon/examples/quickstart.rs
@@ -42,7 +42,7 @@
     }
     let put = |row: &str, value| platform.put(row, 0, value).map_err(|v| eyre!("version {v}"));
     put("config/first", document(&upstreams))?;
-    put("config/head", json!({ "row": "config/first", "operator": "quickstart" }))?;
+    put("config/head", json!({ "parts": ["config/first"], "operator": "quickstart" }))?;
     let places = [("a1", "cascadia-a"), ("a2", "cascadia-a"), ("b1", "cascadia-b")];
     let start = |(instance, zone): (&str, &str)| {
         Daemon::start(settings(instance, zone, platform.address)?, log::silent())
--- a/crates/daemon/src/operate/command.rs
+++ b/crates/daemon/src/operate/command.rs
@@ -65,7 +65,7 @@
             );
         }
         let name = operator.id.to_string();
-        match self.platform.put_config(version, &new, &name, rand::random()) {
+        match self.platform.put_config(version, &new, &name) {
             Ok(version) => Outcome::ok(json!({ "version": version, "difference": difference })),
             Err(platform::Error::Conflict(_)) => self.conflict(version, Some(&old)),
             Err(e) => {
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,6 +1,10 @@
 //! The platform's table service and its list of instances.
 
+mod parts;
+
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use rosemarypond_core::claim::{Read, Record, State, Version, Write};
@@ -49,8 +53,8 @@
 /// The row that names the configuration in force; its version is the row's.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Head {
-    /// The row that holds the document.
-    pub row: String,
+    /// The rows whose content together is the document.
+    pub parts: Vec<String>,
     /// Who wrote it.
     pub operator: String,
 }
@@ -68,6 +72,8 @@
 pub struct Client {
     agent: ureq::Agent,
     address: SocketAddr,
+    /// The parts of the configuration that was read or written last.
+    parts: Arc<Mutex<HashMap<String, Value>>>,
 }
 
 impl Client {
@@ -85,7 +91,7 @@
             .max_redirects(0)
             .proxy(None)
             .build();
-        Self { agent: config.into(), address }
+        Self { agent: config.into(), address, parts: Arc::default() }
     }
 
     /// Reads a row.
@@ -167,17 +173,43 @@
             return Ok(None);
         }
         let head: Head = serde_json::from_value(head).map_err(|e| Error::Content(e.to_string()))?;
-        let missing = || Error::Content(format!("the row {} is missing", head.row));
-        let (_, text) = self.get(&head.row)?.ok_or_else(missing)?;
-        let document =
-            config::Document::parse(text.to_string()).map_err(|e| Error::Content(e.to_string()))?;
+        let document = parts::join(self.load_parts(&head.parts)?);
+        let document = config::Document::parse(document.to_string())
+            .map_err(|e| Error::Content(e.to_string()))?;
         Ok(Some((config::Version(version), document)))
     }
 
+    /// Reads the parts that are not known yet, and forgets all others.
+    fn load_parts(&self, names: &[String]) -> Result<Vec<Value>, Error> {
+        let mut loaded = HashMap::new();
+        for name in names {
+            let known = self.known_parts().get(name).cloned();
+            let part = match known {
+                Some(part) => part,
+                None => self.load_part(name)?,
+            };
+            loaded.insert(name.clone(), part);
+        }
+        let parts = names.iter().map(|name| loaded[name].clone()).collect();
+        *self.known_parts() = loaded;
+        Ok(parts)
+    }
+
+    fn load_part(&self, name: &str) -> Result<Value, Error> {
+        let missing = || Error::Content(format!("the row {name} is missing"));
+        let (_, part) = self.get(name)?.ok_or_else(missing)?;
+        Ok(part)
+    }
+
+    fn known_parts(&self) -> MutexGuard<'_, HashMap<String, Value>> {
+        self.parts.lock().expect("no holder panics")
+    }
+
     /// Puts a document in force where the version `expected` still is.
     ///
-    /// The document goes into a row of its own first, so that the one
-    /// conditional write of the head decides between two operators.
+    /// Parts that are not known to be there are written first, under names
+    /// made from their content, so that the one conditional write of the head
+    /// decides between two operators.
     ///
     /// # Errors
     ///
@@ -187,16 +219,27 @@
         expected: config::Version,
         document: &config::Document,
         operator: &str,
-        nonce: u64,
     ) -> Result<config::Version, Error> {
-        let row = format!("config/document-{nonce:016x}");
-        let text = serde_json::to_value(document).map_err(|e| Error::Content(e.to_string()))?;
-        self.settle(&row, 0, &text)?;
-        let head = Head { row, operator: operator.to_owned() };
+        let parts = parts::split(document);
+        for (name, part) in &parts {
+            if !self.known_parts().contains_key(name) {
+                self.put_part(name, part)?;
+            }
+        }
+        let names = parts.iter().map(|(name, _)| name.clone()).collect();
+        let head = Head { parts: names, operator: operator.to_owned() };
         let head = serde_json::to_value(head).map_err(|e| Error::Content(e.to_string()))?;
         self.settle(HEAD, expected.0, &head).map(config::Version)
     }
 
+    /// Writes a part; one that is there already has the same content.
+    fn put_part(&self, name: &str, part: &Value) -> Result<(), Error> {
+        match self.settle(name, 0, part) {
+            Ok(_) | Err(Error::Conflict(_)) => Ok(()),
+            Err(e) => Err(e),
+        }
+    }
+
     /// Writes a row; where the answer is lost, looks whether it took effect.
     fn settle(&self, row: &str, expected: Version, value: &Value) -> Result<Version, Error> {
         match self.put(row, expected, value) {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -183,7 +183,7 @@
             assert_eq!(answer.expect("the platform answers").status, 200);
         };
         put(&row, 0, &self.document);
-        put("config/head", expected, &json!({ "row": row, "operator": "test" }));
+        put("config/head", expected, &json!({ "parts": [row], "operator": "test" }));
     }
 
     /// Adds an instance to a platform's list.
