Measure what a daemon adds to a stream; hash the same in every release

Fingerprints of keyed requests and the shares of upstreams' slots were hashed by the standard library's default hasher, which may differ between releases: a retry through a newer instance could have been called a reused key.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -229,6 +229,23 @@
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
+/// A digest of a request's method, path and body, the same in every release.
+///
+/// ```
+/// use rosemarypond_core::config::fingerprint;
+/// assert_ne!(fingerprint(["POST", "/pay"]), fingerprint(["POST/", "pay"]));
+/// ```
+pub fn fingerprint(parts: impl IntoIterator<Item = impl AsRef<[u8]>>) -> u64 {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        let part = part.as_ref();
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    let bytes = hasher.finalize();
+    u64::from_be_bytes(bytes[..8].try_into().expect("a digest has 32 bytes"))
+}
+
 fn unique<'a>(
     kind: &'static str,
     ids: impl Iterator<Item = &'a str>,
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -5,9 +5,11 @@
 //! request stands in the way of the others.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::hash::{Hash, Hasher};
 use std::time::Instant;
 
+use siphasher::sip::SipHasher13;
+
 use crate::id;
 use crate::request::Request;
 use crate::unit::Tokens;
@@ -49,7 +51,7 @@
 /// assert_eq!(spread("e1"), spread("e1"));
 /// ```
 pub fn spread(text: impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
+    let mut hasher = SipHasher13::new();
     text.hash(&mut hasher);
     hasher.finish()
 }
--- /dev/null
+++ b/crates/daemon/examples/overhead.rs
@@ -0,0 +1,212 @@
+//! Measures what a daemon adds to a stream, against the same stream straight
+//! from the stand-in engine, and what it costs while it serves and while idle.
+//!
+//! The daemon runs as a process of its own: build it first with
+//! `cargo build --release`.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use eyre::{Context, eyre};
+use hdrhistogram::Histogram;
+use rosemarypond_core::config::digest;
+use rosemarypond_standin::engine::{Behaviour, Engine};
+use rosemarypond_standin::platform::Platform;
+use serde_json::json;
+
+const TEAM: &str = "studio-secret";
+const TOKENS: u64 = 50;
+const TOKEN_MS: u64 = 20;
+const ENGINES: usize = 4;
+const STREAMS: [usize; 4] = [1, 16, 128, 700];
+const ROUNDS: usize = 3;
+const IDLE: Duration = Duration::from_secs(10);
+/// Clock ticks a second in `/proc/*/stat`.
+const TICKS_PER_S: f64 = 100.0;
+
+struct Times {
+    first_us: Histogram<u64>,
+    gap_us: Histogram<u64>,
+    broken: usize,
+}
+
+impl Times {
+    fn new() -> Self {
+        let histogram = || Histogram::new_with_bounds(1, 60_000_000, 3).expect("ordered bounds");
+        Self { first_us: histogram(), gap_us: histogram(), broken: 0 }
+    }
+
+    fn line(&self) -> String {
+        let of = |h: &Histogram<u64>| {
+            let at = |q| h.value_at_quantile(q) as f64 / 1e3;
+            format!("{:8.2} {:8.2} {:8.2}", at(0.5), at(0.95), at(0.99))
+        };
+        format!("{} | {} | broken {}", of(&self.first_us), of(&self.gap_us), self.broken)
+    }
+}
+
+fn stream(to: SocketAddr, times: &Mutex<Times>) -> eyre::Result<()> {
+    let body = json!({
+        "stream": true, "max_tokens": TOKENS,
+        "messages": [{ "role": "user", "content": format!("{:?} a short note", Instant::now()) }],
+    });
+    let begin = Instant::now();
+    let request = ureq::post(format!("http://{to}/v1/chat/completions"));
+    let request = request.header("Authorization", format!("Bearer {TEAM}"));
+    let id = format!("{:016x}", rand::random::<u64>());
+    let request = request.header("X-Request-Id", id).header("Connection", "close");
+    let response = request.send(body.to_string())?;
+    let (mut last, mut events) = (begin, 0);
+    for line in BufReader::new(response.into_body().into_reader()).lines() {
+        if !line?.starts_with("data: {") {
+            continue;
+        }
+        let now = Instant::now();
+        let taken = now.duration_since(last).as_micros() as u64;
+        let mut times = times.lock().map_err(|_| eyre!("A stream's thread panicked."))?;
+        let histogram = if events == 0 { &mut times.first_us } else { &mut times.gap_us };
+        histogram.saturating_record(taken);
+        (last, events) = (now, events + 1);
+    }
+    if events == TOKENS { Ok(()) } else { Err(eyre!("A stream had {events} tokens.")) }
+}
+
+/// Runs streams side by side, each several times; gives tokens a second.
+fn run(to: &[SocketAddr], streams: usize) -> (Times, f64) {
+    let times = Arc::new(Mutex::new(Times::new()));
+    let begin = Instant::now();
+    let threads: Vec<_> = (0..streams)
+        .map(|place| {
+            let (to, times) = (to[place % to.len()], Arc::clone(&times));
+            thread::spawn(move || {
+                for _ in 0..ROUNDS {
+                    if stream(to, &times).is_err() {
+                        times.lock().expect("no holder panics").broken += 1;
+                    }
+                }
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread.join().expect("no stream panics");
+    }
+    let seconds = begin.elapsed().as_secs_f64();
+    let times = Arc::into_inner(times).expect("the threads ended");
+    let times = times.into_inner().expect("no holder panicked");
+    let tokens = (times.first_us.len() + times.gap_us.len()) as f64;
+    (times, tokens / seconds)
+}
+
+struct Daemon {
+    child: Child,
+    http: SocketAddr,
+}
+
+impl Daemon {
+    fn start(platform: SocketAddr) -> eyre::Result<Self> {
+        let own = std::env::current_exe()?;
+        let folder = own.parent().and_then(|p| p.parent()).ok_or_else(|| eyre!("No folder."))?;
+        let settings: PathBuf =
+            std::env::temp_dir().join(format!("rosemarypond-overhead-{}.json", std::process::id()));
+        let text = json!({
+            "instance": "a1", "zone": "cascadia-a", "http": "127.0.0.1:0",
+            "peer": "127.0.0.1:0", "platform": platform, "max_requests": 4_096,
+        });
+        std::fs::write(&settings, text.to_string())?;
+        let mut child = Command::new(folder.join("rosemarypond"))
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .wrap_err("The daemon cannot be started; run cargo build --release first")?;
+        let output = child.stdout.take().ok_or_else(|| eyre!("No output."))?;
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line)?;
+        let address = line.split(' ').nth(1).ok_or_else(|| eyre!("No address in '{line}'."))?;
+        Ok(Self { child, http: address.parse()? })
+    }
+
+    fn cpu_seconds(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.unwrap_or_default();
+        let fields: Vec<_> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let ticks = |place: usize| fields.get(place).and_then(|f| f.parse::<f64>().ok());
+        (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / TICKS_PER_S
+    }
+
+    fn status(&self, key: &str) -> String {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with(key));
+        line.and_then(|l| l.split(':').nth(1)).unwrap_or("?").trim().to_owned()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn document(engines: &[SocketAddr]) -> serde_json::Value {
+    let upstream = |(place, address): (usize, &SocketAddr)| {
+        json!({ "id": format!("e{place}"), "service": "draft-models", "zone": "cascadia-a",
+                "address": address, "kind": "engine", "slots": 512 })
+    };
+    json!({
+        "tiers": [{ "id": "urgent", "deadline_ms": 60_000 }],
+        "teams": [{ "id": "studio", "tier": "urgent", "credential_sha256": digest(TEAM) }],
+        "operators": [],
+        "rules": [{ "path_prefix": "/v1", "service": "draft-models", "idempotent": true }],
+        "upstreams": engines.iter().enumerate().map(upstream).collect::<Vec<_>>(),
+    })
+}
+
+fn main() -> eyre::Result<()> {
+    let platform = Platform::start()?;
+    let behaviour = Behaviour { token_ms: TOKEN_MS, batch: 1_024, ..Behaviour::default() };
+    let engines: Vec<_> =
+        (0..ENGINES).map(|_| Ok(Engine::start(behaviour)?.address)).collect::<eyre::Result<_>>()?;
+    let put = |row, value| platform.put(row, 0, value).map_err(|v| eyre!("version {v}"));
+    put("config/part", document(&engines))?;
+    put("config/head", json!({ "parts": ["config/part"], "operator": "overhead" }))?;
+    let daemon = Daemon::start(platform.address)?;
+    while ureq::get(format!("http://{}/readyz", daemon.http)).call().is_err() {
+        thread::sleep(Duration::from_millis(50));
+    }
+    println!("tokens {TOKENS} of {TOKEN_MS} ms each, {ROUNDS} rounds; ms at 50, 95 and 99 %");
+    println!("                     first token                | between tokens");
+    for streams in STREAMS {
+        let (straight, straight_rate) = run(&engines, streams);
+        println!("{streams:4} straight {} | {straight_rate:8.0} tokens/s", straight.line());
+        let before = daemon.cpu_seconds();
+        let (through, rate) = run(&[daemon.http], streams);
+        let cpu = daemon.cpu_seconds() - before;
+        let tokens = (streams * ROUNDS) as f64 * TOKENS as f64;
+        println!("{streams:4} through  {} | {rate:8.0} tokens/s", through.line());
+        println!(
+            "{streams:4} daemon   {:.1} us of processor time a token, {} resident, {} threads",
+            cpu * 1e6 / tokens,
+            daemon.status("VmRSS"),
+            daemon.status("Threads"),
+        );
+    }
+    thread::sleep(Duration::from_secs(8));
+    let before = daemon.cpu_seconds();
+    thread::sleep(IDLE);
+    let share = (daemon.cpu_seconds() - before) / IDLE.as_secs_f64();
+    println!(
+        "idle: {:.2} % of a core, {} resident (most {}), {} threads",
+        share * 100.0,
+        daemon.status("VmRSS"),
+        daemon.status("VmHWM"),
+        daemon.status("Threads"),
+    );
+    Ok(())
+}
--- a/crates/daemon/src/gateway/intake.rs
+++ b/crates/daemon/src/gateway/intake.rs
@@ -3,7 +3,7 @@
 use std::io::Read;
 use std::time::{Duration, Instant};
 
-use rosemarypond_core::config::{Document, Kind, Rule, Team};
+use rosemarypond_core::config::{Document, Kind, Rule, Team, fingerprint};
 use rosemarypond_core::engine::BLOCK_TOKENS;
 use rosemarypond_core::id;
 use rosemarypond_core::queue::spread;
@@ -137,7 +137,7 @@
         return Repeat::Idempotent;
     }
     let Some(key) = key else { return Repeat::Once };
-    let fingerprint = spread((http.method().as_str(), http.url(), body));
+    let fingerprint = fingerprint([http.method().as_str().as_bytes(), http.url().as_bytes(), body]);
     Repeat::Keyed(Key { team: team.id.clone(), text: key.to_owned(), fingerprint })
 }
 
