--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -21,6 +21,8 @@
 pub const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 /// The stack of a thread that reads an answer, in bytes.
 pub const STACK_BYTES: usize = 256 * 1024;
+/// The buffers of a connection, in bytes.
+const BUFFER_BYTES: usize = 8 * 1024;
 /// The longest answer that is not streamed, in bytes.
 pub const MAX_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
 
@@ -92,6 +94,8 @@
         let build = |idle| {
             let config = ureq::Agent::config_builder()
                 .timeout_connect(Some(CONNECT_TIMEOUT))
+                .input_buffer_size(BUFFER_BYTES)
+                .output_buffer_size(BUFFER_BYTES)
                 .max_idle_connections(idle)
                 .max_idle_connections_per_host(idle)
                 .http_status_as_error(false)
