Let bursts of connections wait to be accepted

Cause: the standard library listens with a backlog of 128; of 700 callers at once some were dropped and came again after TCP's second. Ruled out: the threads' start, since the slow ones all took a second more.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -15,6 +15,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use slog::{Logger, info, warn};
+use socket2::{Domain, Socket, Type};
 
 use crate::gateway::Gateway;
 use crate::operate::Operate;
@@ -129,8 +130,19 @@
 /// How long the last answers may take to leave.
 const LAST_ANSWERS: Duration = Duration::from_secs(5);
 
+/// How many connections wait to be accepted; bursts of callers come at once.
+const BACKLOG: i32 = 4_096;
+
 fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address).wrap_err_with(|| format!("The address {address} cannot be bound"))
+    listen(address).wrap_err_with(|| format!("The address {address} cannot be bound"))
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
 }
 
 fn options(settings: &Settings) -> Options {
