--- /dev/null
+++ b/crates/daemon/examples/fleet.rs
@@ -0,0 +1,191 @@
+//! Measures what control costs a daemon against the number of its peers, and
+//! how long a change of the configuration takes until it is in force on all.
+//!
+//! The daemons run as processes of their own: build them first with
+//! `cargo build --release`.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, value_parser};
+use eyre::{Context, eyre};
+use rosemarypond::platform::Client;
+use rosemarypond_core::config::{Document, Kind, Team, Tier, Upstream, Version, digest};
+use rosemarypond_standin::platform::Platform;
+
+const SETTLE: Duration = Duration::from_secs(12);
+const WATCH: Duration = Duration::from_secs(20);
+const CHANGES: usize = 3;
+const ZONES: usize = 13;
+const SERVICES: usize = 3;
+/// Clock ticks a second in `/proc/*/stat`.
+const TICKS_PER_S: f64 = 100.0;
+
+struct Daemon {
+    child: Child,
+    http: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn start(folder: &Path, place: usize, zone: &str, platform: SocketAddr) -> eyre::Result<Daemon> {
+    let settings = std::env::temp_dir()
+        .join(format!("rosemarypond-fleet-{}-{place}.json", std::process::id()));
+    let text = serde_json::json!({
+        "instance": format!("{zone}-{place}"), "zone": zone, "http": "127.0.0.1:0",
+        "peer": "127.0.0.1:0", "platform": platform,
+    });
+    std::fs::write(&settings, text.to_string())?;
+    let mut child = Command::new(folder.join("rosemarypond"))
+        .arg(&settings)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .wrap_err("A daemon cannot be started; run cargo build --release first")?;
+    let output = child.stdout.take().ok_or_else(|| eyre!("No output."))?;
+    let mut line = String::new();
+    BufReader::new(output).read_line(&mut line)?;
+    let address = line.split(' ').nth(1).ok_or_else(|| eyre!("No address in '{line}'."))?;
+    Ok(Daemon { child, http: address.parse()?, settings })
+}
+
+impl Daemon {
+    fn cpu_seconds(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.unwrap_or_default();
+        let fields: Vec<_> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let ticks = |place: usize| fields.get(place).and_then(|f| f.parse::<f64>().ok());
+        (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / TICKS_PER_S
+    }
+
+    fn resident_kib(&self) -> f64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS"));
+        let field = line.and_then(|l| l.split_whitespace().nth(1));
+        field.and_then(|f| f.parse().ok()).unwrap_or(0.0)
+    }
+
+    fn metric(&self, name: &str) -> f64 {
+        let call = ureq::get(format!("http://{}/metrics", self.http)).call();
+        let text = call.ok().and_then(|mut r| r.body_mut().read_to_string().ok());
+        let text = text.unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with(&format!("rosemarypond_{name} ")));
+        let field = line.and_then(|l| l.split(' ').nth(1));
+        field.and_then(|f| f.parse().ok()).unwrap_or(0.0)
+    }
+}
+
+fn document(teams: usize, upstreams: usize) -> eyre::Result<Document> {
+    let team = |n: usize| {
+        Ok(Team {
+            id: format!("team-{n}").parse()?,
+            tier: "tier-0".parse()?,
+            credential_sha256: digest(format!("credential-{n}")),
+        })
+    };
+    let upstream = |n: usize| {
+        Ok(Upstream {
+            id: format!("engine-{n}").parse()?,
+            service: format!("model-{}", n % SERVICES).parse()?,
+            zone: format!("zone-{}", n / SERVICES % ZONES).parse()?,
+            address: "127.0.0.1:1".parse()?,
+            kind: Kind::Engine,
+            slots: 73,
+            leaving: false,
+        })
+    };
+    let tier = |n: usize| Ok(Tier { id: format!("tier-{n}").parse()?, deadline_ms: 20_000 });
+    Ok(Document {
+        tiers: (0..5).map(tier).collect::<eyre::Result<_>>()?,
+        teams: (0..teams).map(team).collect::<eyre::Result<_>>()?,
+        upstreams: (0..upstreams).map(upstream).collect::<eyre::Result<_>>()?,
+        ..Document::default()
+    })
+}
+
+fn wait_for(daemons: &[Daemon], version: Version) -> Duration {
+    let begin = Instant::now();
+    for daemon in daemons {
+        while daemon.metric("config_version") < version.0 as f64 {
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+    begin.elapsed()
+}
+
+fn mean(daemons: &[Daemon], figure: impl Fn(&Daemon) -> f64) -> f64 {
+    daemons.iter().map(figure).sum::<f64>() / daemons.len() as f64
+}
+
+fn main() -> eyre::Result<()> {
+    let number = |name, default| {
+        Arg::new(name).long(name).default_value(default).value_parser(value_parser!(usize))
+    };
+    let matches = clap::Command::new("fleet")
+        .about("Measures the control cost of daemons that serve nothing")
+        .arg(number("daemons", "8").help("How many daemons in one zone"))
+        .arg(number("far", "0").help("How many other zones with one daemon each"))
+        .arg(number("teams", "5"))
+        .arg(number("upstreams", "12"))
+        .get_matches();
+    let get = |name: &str| *matches.get_one::<usize>(name).expect("it has a default");
+    let platform = Platform::start()?;
+    let client = Client::new(platform.address);
+    let mut document = document(get("teams"), get("upstreams"))?;
+    let mut version = client.put_config(Version(0), &document, "fleet")?;
+    let own = std::env::current_exe()?;
+    let folder = own.parent().and_then(|p| p.parent()).ok_or_else(|| eyre!("No folder."))?;
+    let zones = (0..get("daemons")).map(|_| 0).chain(1..=get("far"));
+    let daemons: Vec<_> = zones
+        .enumerate()
+        .map(|(place, zone)| start(folder, place, &format!("zone-{zone}"), platform.address))
+        .collect::<eyre::Result<_>>()?;
+    wait_for(&daemons, version);
+    thread::sleep(SETTLE);
+    let near = &daemons[..get("daemons")];
+    let sums = |name: &str| mean(near, |d| d.metric(name));
+    let names = ["peer_sent_bytes_total", "peer_received_bytes_total", "peer_sent_frames_total"];
+    let (before, cpu) = (names.map(sums), mean(near, Daemon::cpu_seconds));
+    let traffic = platform.traffic();
+    thread::sleep(WATCH);
+    let (after, cpu_after) = (names.map(sums), mean(near, Daemon::cpu_seconds));
+    let seconds = WATCH.as_secs_f64();
+    let rate = |place: usize| (after[place] - before[place]) / seconds;
+    let reads = (platform.traffic().0 - traffic.0) as f64 / seconds;
+    println!(
+        "daemons {}, far {}, teams {}, upstreams {}: peers {:.1}, sent {:.0} B/s in {:.1} frames/s, \
+         received {:.0} B/s, {:.2} % of a core, {:.1} MB resident, platform reads {:.2}/s each",
+        get("daemons"),
+        get("far"),
+        get("teams"),
+        get("upstreams"),
+        sums("peers"),
+        rate(0),
+        rate(2),
+        rate(1),
+        (cpu_after - cpu) / seconds * 100.0,
+        mean(near, Daemon::resident_kib) / 1024.0,
+        reads / daemons.len() as f64,
+    );
+    for turn in 0..CHANGES {
+        document.teams[turn].credential_sha256 = digest(format!("new-{turn}"));
+        version = client.put_config(version, &document, "fleet")?;
+        println!(
+            "  version {version} in force on all after {:.2} s",
+            wait_for(&daemons, version).as_secs_f64()
+        );
+    }
+    Ok(())
+}
