Hold digests as bytes and configuration parts as text

Cause: a daemon with 18,000 teams and 1,600 upstreams held 46.6 MB, above the 32 MB that control may cost: each part stood as a tree of JSON values beside the document, which was itself written out and read again, with digests as text. Now parts are kept as text and read straight into the document.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,13 +1,14 @@
 //! The shared configuration, held by the platform's table service.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::OnceLock;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
+use sha2::{Digest as _, Sha256};
 
 use crate::id;
 
@@ -33,7 +34,7 @@
     }
 }
 
-impl std::str::FromStr for Version {
+impl FromStr for Version {
     type Err = std::num::ParseIntError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
@@ -66,8 +67,8 @@
     pub id: id::Team,
     /// The tier of its requests where no rule says otherwise.
     pub tier: id::Tier,
-    /// The SHA-256 digest of its credential, in hexadecimal digits.
-    pub credential_sha256: String,
+    /// The SHA-256 digest of its credential.
+    pub credential_sha256: Digest,
 }
 
 /// An operator, who may ask and command.
@@ -76,8 +77,8 @@
 pub struct Operator {
     /// Its identifier.
     pub id: id::Operator,
-    /// The SHA-256 digest of its credential, in hexadecimal digits.
-    pub credential_sha256: String,
+    /// The SHA-256 digest of its credential.
+    pub credential_sha256: Digest,
 }
 
 /// What happens to a key whose request is refused before it ran.
@@ -142,8 +143,10 @@
 }
 
 /// The shared configuration.
+///
+/// Sections that a text leaves out are empty.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct Document {
     /// The tiers, highest first.
     pub tiers: Vec<Tier>,
@@ -167,7 +170,7 @@
 ///
 /// It says nothing of what a document holds: all are equal.
 #[derive(Clone, Debug, Default)]
-pub struct TeamPlaces(OnceLock<HashMap<String, usize>>);
+pub struct TeamPlaces(OnceLock<HashMap<Digest, u32>>);
 
 impl PartialEq for TeamPlaces {
     fn eq(&self, _other: &Self) -> bool {
@@ -183,6 +186,9 @@
     /// The text is not a document.
     #[error("The configuration cannot be read: {0}.")]
     Text(String),
+    /// A text is not a digest.
+    #[error("'{0}' is no digest; expected 64 lower-case hexadecimal digits.")]
+    Digest(String),
     /// There is no tier, or there are too many.
     #[error("A configuration needs 1 to {MAX_TIERS} tiers, but this one has {0}.")]
     Tiers(usize),
@@ -218,15 +224,71 @@
     },
 }
 
-/// The SHA-256 digest of a credential, in hexadecimal digits.
+/// A SHA-256 digest, written as 64 lower-case hexadecimal digits.
+///
+/// ```
+/// use rosemarypond_core::config::{Digest, digest};
+/// let known = digest("secret");
+/// assert_eq!(known.to_string().parse::<Digest>()?, known);
+/// assert!("secret".parse::<Digest>().is_err());
+/// # Ok::<(), rosemarypond_core::config::Error>(())
+/// ```
+#[derive(Clone, Copy, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Digest([u8; 32]);
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for Digest {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let wrong = || Error::Digest(text.to_owned());
+        let is_hex = text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+        if text.len() != 64 || !is_hex {
+            return Err(wrong());
+        }
+        let mut bytes = [0; 32];
+        for (place, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[place * 2..place * 2 + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| wrong())?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self, Error> {
+        text.parse()
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
+
+/// The SHA-256 digest of a credential.
 ///
 /// ```
 /// use rosemarypond_core::config::digest;
-/// assert_eq!(digest("secret").len(), 64);
+/// assert!(digest("").to_string().starts_with("e3b0c442"));
 /// ```
-pub fn digest(credential: impl AsRef<[u8]>) -> String {
-    let bytes = Sha256::digest(credential.as_ref());
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+pub fn digest(credential: impl AsRef<[u8]>) -> Digest {
+    Digest(Sha256::digest(credential.as_ref()).into())
 }
 
 /// A digest of a request's method, path and body, the same in every release.
@@ -291,8 +353,7 @@
     ///
     /// ```
     /// use rosemarypond_core::config::{Document, Error};
-    /// assert_eq!(Document::parse(r#"{"tiers":[],"teams":[],"operators":[],"rules":[],"upstreams":[]}"#),
-    ///            Err(Error::Tiers(0)));
+    /// assert_eq!(Document::parse("{}"), Err(Error::Tiers(0)));
     /// ```
     pub fn parse(text: impl AsRef<str>) -> Result<Self, Error> {
         let document: Self =
@@ -301,6 +362,17 @@
         Ok(document)
     }
 
+    /// Adds the sections of another part of the same document.
+    pub fn append(&mut self, part: Self) {
+        self.tiers.extend(part.tiers);
+        self.teams.extend(part.teams);
+        self.operators.extend(part.operators);
+        self.rules.extend(part.rules);
+        self.upstreams.extend(part.upstreams);
+        self.resume_secret = self.resume_secret.take().or(part.resume_secret);
+        self.team_places = TeamPlaces::default();
+    }
+
     /// Checks what the document means.
     ///
     /// # Errors
@@ -315,17 +387,13 @@
         unique("operator", self.operators.iter().map(|o| o.id.as_str()))?;
         unique("rule", self.rules.iter().map(|r| r.path_prefix.as_str()))?;
         unique("upstream", self.upstreams.iter().map(|u| u.id.as_str()))?;
-        unique("credential", self.credentials())?;
+        self.check_credentials()?;
         let services: BTreeSet<_> = self.upstreams.iter().map(|u| u.service.as_str()).collect();
         for tier in &self.tiers {
             in_range("tier", &tier.id, tier.deadline_ms > 0, "a deadline_ms above 0")?;
         }
         for team in &self.teams {
             known(("team", team.id.as_str()), ("tier", team.tier.as_str()), &tiers)?;
-            check_credential("team", &team.id, &team.credential_sha256)?;
-        }
-        for operator in &self.operators {
-            check_credential("operator", &operator.id, &operator.credential_sha256)?;
         }
         for rule in &self.rules {
             self.check_rule(rule, &tiers, &services)?;
@@ -336,9 +404,15 @@
         Ok(())
     }
 
-    fn credentials(&self) -> impl Iterator<Item = &str> {
-        let teams = self.teams.iter().map(|t| t.credential_sha256.as_str());
-        teams.chain(self.operators.iter().map(|o| o.credential_sha256.as_str()))
+    fn check_credentials(&self) -> Result<(), Error> {
+        let teams = self.teams.iter().map(|t| t.credential_sha256);
+        let mut seen = HashSet::new();
+        for digest in teams.chain(self.operators.iter().map(|o| o.credential_sha256)) {
+            if !seen.insert(digest) {
+                return Err(Error::Twice { kind: "credential", id: digest.to_string() });
+            }
+        }
+        Ok(())
     }
 
     fn check_rule(
@@ -367,13 +441,13 @@
     pub fn team(&self, credential: impl AsRef<str>) -> Option<&Team> {
         let digest = digest(credential.as_ref());
         let places = self.team_places.0.get_or_init(|| self.places());
-        let team = self.teams.get(*places.get(&digest)?)?;
+        let team = self.teams.get(*places.get(&digest)? as usize)?;
         (team.credential_sha256 == digest).then_some(team)
     }
 
-    fn places(&self) -> HashMap<String, usize> {
-        let teams = self.teams.iter().enumerate();
-        teams.map(|(place, team)| (team.credential_sha256.clone(), place)).collect()
+    fn places(&self) -> HashMap<Digest, u32> {
+        let teams = self.teams.iter().zip(0..);
+        teams.map(|(team, place)| (team.credential_sha256, place)).collect()
     }
 
     /// The operator that a credential belongs to.
@@ -394,8 +468,3 @@
     let Some(rest) = path.strip_prefix(prefix) else { return false };
     rest.is_empty() || prefix.ends_with('/') || rest.starts_with(['/', '?'])
 }
-
-fn check_credential(kind: &'static str, id: impl ToString, digest: &str) -> Result<(), Error> {
-    let hex = digest.len() == 64 && digest.chars().all(|c| matches!(c, '0'..='9' | 'a'..='f'));
-    in_range(kind, id, hex, "a credential_sha256 of 64 lower-case hexadecimal digits")
-}
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -67,13 +67,16 @@
     answer: Option<Answer>,
 }
 
+/// Texts of a configuration's parts, by the names of their rows.
+type Parts = HashMap<String, Arc<str>>;
+
 /// A client of the platform.
 #[derive(Clone, Debug)]
 pub struct Client {
     agent: ureq::Agent,
     address: SocketAddr,
     /// The parts of the configuration that was read or written last.
-    parts: Arc<Mutex<HashMap<String, Value>>>,
+    parts: Arc<Mutex<Parts>>,
 }
 
 impl Client {
@@ -173,14 +176,15 @@
             return Ok(None);
         }
         let head: Head = serde_json::from_value(head).map_err(|e| Error::Content(e.to_string()))?;
-        let document = parts::join(self.load_parts(&head.parts)?);
-        let document = config::Document::parse(document.to_string())
+        let parts = self.load_parts(&head.parts)?;
+        let document = parts::join(parts.iter().map(AsRef::as_ref))
             .map_err(|e| Error::Content(e.to_string()))?;
+        document.check().map_err(|e| Error::Content(e.to_string()))?;
         Ok(Some((config::Version(version), document)))
     }
 
     /// Reads the parts that are not known yet, and forgets all others.
-    fn load_parts(&self, names: &[String]) -> Result<Vec<Value>, Error> {
+    fn load_parts(&self, names: &[String]) -> Result<Vec<Arc<str>>, Error> {
         let mut loaded = HashMap::new();
         for name in names {
             let known = self.known_parts().get(name).cloned();
@@ -195,13 +199,13 @@
         Ok(parts)
     }
 
-    fn load_part(&self, name: &str) -> Result<Value, Error> {
+    fn load_part(&self, name: &str) -> Result<Arc<str>, Error> {
         let missing = || Error::Content(format!("the row {name} is missing"));
         let (_, part) = self.get(name)?.ok_or_else(missing)?;
-        Ok(part)
+        Ok(part.to_string().into())
     }
 
-    fn known_parts(&self) -> MutexGuard<'_, HashMap<String, Value>> {
+    fn known_parts(&self) -> MutexGuard<'_, Parts> {
         self.parts.lock().expect("no holder panics")
     }
 
--- a/crates/daemon/src/platform/parts.rs
+++ b/crates/daemon/src/platform/parts.rs
@@ -3,7 +3,7 @@
 
 use rosemarypond_core::config::{Document, digest};
 use rosemarypond_core::queue::spread;
-use serde_json::{Map, Value, json};
+use serde_json::{Value, json};
 
 /// About how many teams share a row.
 const TEAMS_PER_PART: usize = 256;
@@ -23,18 +23,16 @@
 }
 
 /// The document that parts make up.
-pub(super) fn join(parts: impl IntoIterator<Item = Value>) -> Value {
-    let mut whole = Map::new();
+///
+/// # Errors
+///
+/// Where a part is not understood.
+pub(super) fn join<'a>(
+    parts: impl IntoIterator<Item = &'a str>,
+) -> Result<Document, serde_json::Error> {
+    let mut whole = Document::default();
     for part in parts {
-        let Value::Object(fields) = part else { continue };
-        for (name, value) in fields {
-            match (whole.get_mut(&name).and_then(Value::as_array_mut), value) {
-                (Some(list), Value::Array(more)) => list.extend(more),
-                (_, value) => {
-                    whole.insert(name, value);
-                }
-            }
-        }
+        whole.append(serde_json::from_str(part)?);
     }
-    Value::Object(whole)
+    Ok(whole)
 }
