Foretell waits by tier, with shorter requests ahead of longer ones

Cause: the rate was learnt for each size apart, so short prompts, which go first, were refused as often as long ones (817 of 1,119 of the lowest tier in long-and-short at 150 %).

--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -360,10 +360,11 @@
         after.min(MAX_RETRY_AFTER)
     }
 
-    /// How long a request that arrives now is likely to wait.
+    /// How long a request that arrives now is likely to wait: shorter ones of
+    /// its tier go first.
     fn expected_wait(&self, service: &id::Service, rank: u8, size: Size) -> Option<Duration> {
-        let count = self.queues.get(service)?.count_of(rank, size);
-        self.paces.get(service)?.expected_wait(rank, size, count)
+        let count = self.queues.get(service)?.count_to_size(rank, size);
+        self.paces.get(service)?.expected_wait(rank, count)
     }
 
     fn set_draining(&mut self, now: Instant, draining: bool) {
@@ -381,7 +382,7 @@
         self.beat(now);
         for (service, pace) in &mut self.paces {
             let queue = self.queues.get(service);
-            pace.tick(TICK_INTERVAL, |rank, size| queue.map_or(0, |q| q.count_of(rank, size)));
+            pace.tick(TICK_INTERVAL, |rank| queue.map_or(0, |q| q.count(rank)));
         }
         self.expire_waiting(now);
         self.schedule_all(now);
--- a/crates/core/src/instance/pace.rs
+++ b/crates/core/src/instance/pace.rs
@@ -14,7 +14,7 @@
 const MIN_RATE: f64 = 0.005;
 /// How long something has to have waited before a wait is foretold.
 const MIN_OBSERVED: Duration = Duration::from_secs(5);
-/// So few waiting requests are let in whatever the rate, so that a flow that
+/// So few waiting requests are let in whatever the rate, so that a tier that
 /// stood still is tried again.
 const MIN_COUNT: usize = 2;
 
@@ -31,7 +31,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct Flow {
+struct Tier {
     started: f64,
     rate: f64,
     observed: Duration,
@@ -41,7 +41,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pace {
     answers: BTreeMap<Size, Answer>,
-    flows: BTreeMap<(u8, Size), Flow>,
+    tiers: BTreeMap<u8, Tier>,
 }
 
 impl Pace {
@@ -53,30 +53,30 @@
         answer.deviation += ANSWER_LEARNING_RATE * (off.abs() - answer.deviation);
     }
 
-    /// Notes that something of a kind came to wait.
-    pub(super) fn waits(&mut self, rank: u8, size: Size) {
-        self.flows.entry((rank, size)).or_default();
+    /// Notes that something of a tier came to wait.
+    pub(super) fn waits(&mut self, rank: u8) {
+        self.tiers.entry(rank).or_default();
     }
 
     /// Notes that a waiting request was let run.
-    pub(super) fn started(&mut self, rank: u8, size: Size) {
-        self.flows.entry((rank, size)).or_default().started += 1.0;
+    pub(super) fn started(&mut self, rank: u8) {
+        self.tiers.entry(rank).or_default().started += 1.0;
     }
 
     /// Takes account of the time that went by.
     ///
     /// A rate is only learnt while something waits: an idle queue says
     /// nothing of how fast it would get through.
-    pub(super) fn tick(&mut self, interval: Duration, waiting: impl Fn(u8, Size) -> usize) {
-        for ((rank, size), flow) in &mut self.flows {
-            if waiting(*rank, *size) == 0 {
-                flow.started = 0.0;
+    pub(super) fn tick(&mut self, interval: Duration, waiting: impl Fn(u8) -> usize) {
+        for (rank, tier) in &mut self.tiers {
+            if waiting(*rank) == 0 {
+                tier.started = 0.0;
                 continue;
             }
-            flow.observed += interval;
-            let rate = flow.started / interval.as_secs_f64();
-            flow.rate += RATE_LEARNING_RATE * (rate - flow.rate);
-            flow.started = 0.0;
+            tier.observed += interval;
+            let rate = tier.started / interval.as_secs_f64();
+            tier.rate += RATE_LEARNING_RATE * (rate - tier.rate);
+            tier.started = 0.0;
         }
     }
 
@@ -92,11 +92,11 @@
     }
 
     /// How long the last of `count` waiting requests is likely to wait.
-    pub(super) fn expected_wait(&self, rank: u8, size: Size, count: usize) -> Option<Duration> {
-        let flow = self.flows.get(&(rank, size))?;
-        if flow.observed < MIN_OBSERVED || count <= MIN_COUNT {
+    pub(super) fn expected_wait(&self, rank: u8, count: usize) -> Option<Duration> {
+        let tier = self.tiers.get(&rank)?;
+        if tier.observed < MIN_OBSERVED || count <= MIN_COUNT {
             return None;
         }
-        Some(Duration::from_secs_f64(count as f64 / flow.rate.max(MIN_RATE)))
+        Some(Duration::from_secs_f64(count as f64 / tier.rate.max(MIN_RATE)))
     }
 }
--- a/crates/core/src/instance/schedule.rs
+++ b/crates/core/src/instance/schedule.rs
@@ -31,8 +31,7 @@
         held.stage = Stage::Queued;
         let request = held.request.clone();
         let (rank, service) = (request.rank, request.service.clone());
-        let size = Size::of(request.prompt);
-        self.paces.entry(service.clone()).or_default().waits(rank, size);
+        self.paces.entry(service.clone()).or_default().waits(rank);
         self.queues.entry(service.clone()).or_default().push(request);
         if self.is_hopeless(now, &service, id) {
             let lower = self.lower_could_make_room(&service, rank);
@@ -181,8 +180,7 @@
         let answer = self.pace_of(request).answer(Size::of(request.prompt));
         let cost = u64::from(request.prompt.0) + ANSWER_TOKEN_COST * u64::from(answer.0);
         let (service, rank) = (request.service.clone(), request.rank);
-        let size = Size::of(request.prompt);
-        self.paces.entry(service.clone()).or_default().started(rank, size);
+        self.paces.entry(service.clone()).or_default().started(rank);
         if let Some(queue) = self.queues.get_mut(&service) {
             queue.take(id, cost);
         }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -270,10 +270,10 @@
         self.levels.get(&rank).map_or(0, |level| level.count)
     }
 
-    /// How many requests of a rank and size wait.
-    pub fn count_of(&self, rank: u8, size: Size) -> usize {
-        let level = self.levels.get(&rank);
-        level.and_then(|level| level.by_size.get(&size)).copied().unwrap_or(0)
+    /// How many requests of a rank wait that are not longer than a size.
+    pub fn count_to_size(&self, rank: u8, size: Size) -> usize {
+        let Some(level) = self.levels.get(&rank) else { return 0 };
+        level.by_size.range(..=size).map(|(_, count)| count).sum()
     }
 
     /// The waiting requests, in no particular order.
