Learn a tier's rate over longer

Cause: the rate fell within seconds while higher tiers were busy, so that what came then was refused and the slots that came later found short queues.

--- a/crates/core/src/instance/pace.rs
+++ b/crates/core/src/instance/pace.rs
@@ -8,7 +8,7 @@
 use crate::unit::Tokens;
 
 const ANSWER_LEARNING_RATE: f64 = 0.1;
-const RATE_LEARNING_RATE: f64 = 0.02;
+const RATE_LEARNING_RATE: f64 = 0.004;
 const DEFAULT_ANSWER_TOKENS: f64 = 128.0;
 /// The lowest rate that a wait is foretold from, in requests a second.
 const MIN_RATE: f64 = 0.005;
