Let operators settle a key whose request has no known end

A claimer that dies leaves its record as dispatched, and every retry is told that the outcome is unknown. 'resolve key TEAM KEY ran|not-run' settles it by a conditional write, after somebody has looked at the upstream.

--- a/crates/core/src/language.rs
+++ b/crates/core/src/language.rs
@@ -173,6 +173,15 @@
         /// Whether it goes out of service.
         out: bool,
     },
+    /// Settles a key whose request has no known end.
+    Resolve {
+        /// The team that the key belongs to.
+        team: String,
+        /// The key.
+        key: String,
+        /// Whether the operator found that the request ran.
+        ran: bool,
+    },
     /// Changes the configuration.
     Change {
         /// The change.
@@ -361,13 +370,23 @@
     let lead = (keyword("if"), multispace1, keyword("version"), multispace1);
     let version = opt(delimited(lead, cut_err(number), multispace1)).parse_next(input)?;
     let change = alt((set, remove, add))
-        .context(expected("drain, undrain, set, add or remove"))
+        .context(expected("drain, undrain, resolve, set, add or remove"))
         .parse_next(input)?;
     Ok(Command::Change { change, dry_run, version })
 }
 
+fn resolve(input: &mut &str) -> ModalResult<Command> {
+    (keyword("resolve"), multispace1, keyword("key")).parse_next(input)?;
+    let team = cut_err(preceded(multispace1, name)).parse_next(input)?;
+    let key = cut_err(preceded(multispace1, name)).parse_next(input)?;
+    let ran = alt((keyword("ran").value(true), keyword("not-run").value(false)))
+        .context(expected("ran or not-run"));
+    let ran = cut_err(preceded(multispace1, ran)).parse_next(input)?;
+    Ok(Command::Resolve { team, key, ran })
+}
+
 fn command(input: &mut &str) -> ModalResult<Command> {
-    alt((drain, change)).parse_next(input)
+    alt((drain, resolve, change)).parse_next(input)
 }
 
 fn parse<T>(sentence: &str, parser: impl FnMut(&mut &str) -> ModalResult<T>) -> Result<T, Error> {
--- a/crates/daemon/src/operate/command.rs
+++ b/crates/daemon/src/operate/command.rs
@@ -1,9 +1,11 @@
 //! Commands: drains, and changes of the configuration.
 
 use rosemarypond_core::change;
+use rosemarypond_core::claim::State;
 use rosemarypond_core::config::{Document, Version};
 use rosemarypond_core::event::Event;
 use rosemarypond_core::language::{Change, Command, Entry, Target};
+use rosemarypond_core::request::Key;
 use serde_json::json;
 
 use super::{Operate, Operator, Outcome};
@@ -20,6 +22,7 @@
                 let change = Change::Set { entry: Entry::Upstream, id, field, value };
                 self.change(operator, &change, false, None)
             }
+            Command::Resolve { team, key, ran } => self.resolve(&team, key, ran),
             Command::Change { change, dry_run, version } => {
                 self.change(operator, &change, dry_run, version.map(Version))
             }
@@ -39,6 +42,20 @@
         outcome.unwrap_or_else(silent)
     }
 
+    /// Settles a key that an operator has looked into at the upstream.
+    fn resolve(&self, team: &str, key: String, ran: bool) -> Outcome {
+        let Ok(team) = team.parse() else {
+            return Outcome::error(400, format!("'{team}' is no team."));
+        };
+        let state = if ran { State::Done } else { State::Closed };
+        let key = Key { team, text: key, fingerprint: 0 };
+        match self.platform.resolve(&key, state) {
+            Ok(true) => Outcome::ok(json!({ "key": key.text, "ran": ran })),
+            Ok(false) => Outcome::error(409, "The key has no request without a known end."),
+            Err(e) => Outcome::error(503, e),
+        }
+    }
+
     fn change(
         &self,
         operator: &Operator,
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -268,6 +268,26 @@
         }
     }
 
+    /// Settles a key whose record says that its request was dispatched; says
+    /// whether there was such a record.
+    ///
+    /// # Errors
+    ///
+    /// Where the record changed meanwhile, or no answer came.
+    pub fn resolve(&self, key: &Key, state: State) -> Result<bool, Error> {
+        let row = record_row(key);
+        let Some((version, value)) = self.get(&row)? else { return Ok(false) };
+        let stored: StoredRecord =
+            serde_json::from_value(value).map_err(|e| Error::Content(e.to_string()))?;
+        if stored.state != state_name(State::Dispatched) {
+            return Ok(false);
+        }
+        let settled = StoredRecord { state: state_name(state).to_owned(), ..stored };
+        let value = serde_json::to_value(settled).map_err(|e| Error::Content(e.to_string()))?;
+        self.put(&row, version, &value)?;
+        Ok(true)
+    }
+
     /// Writes the record of a key and the answer that is kept with it.
     pub fn write_record(
         &self,
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -40,6 +40,13 @@
     let retry = site.order(0, "killed").expect("an answer");
     assert!(is_unknown(&retry), "{}", retry.body);
     assert_eq!(site.runs("killed"), 1);
+    // An operator who looked at the upstream settles the key.
+    let settle = "resolve key osei killed ran";
+    assert_eq!(site.operate(0, "/operator/command", settle).status, 200);
+    let retry = site.order(0, "killed").expect("an answer");
+    assert_eq!((retry.status, retry.outcome().as_str()), (409, "ran"));
+    assert_eq!(site.operate(0, "/operator/command", settle).status, 409);
+    assert_eq!(site.runs("killed"), 1);
 }
 
 fn kill_before_dispatch() {
