Let as many wait as there are slots, whatever the rate

Cause: after a burst the lowest tier's rate was still near zero, so nearly all that came was refused though slots came free.

--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -366,7 +366,15 @@
     /// its tier go first.
     fn expected_wait(&self, service: &id::Service, rank: u8, size: Size) -> Option<Duration> {
         let count = self.queues.get(service)?.count_to_size(rank, size);
-        self.paces.get(service)?.expected_wait(rank, count)
+        self.paces.get(service)?.expected_wait(rank, count, self.own_slots(service))
+    }
+
+    /// This instance's share of the slots of a service in its zone.
+    fn own_slots(&self, service: &id::Service) -> u32 {
+        let (place, zone) = (self.place(), &self.options.identity.zone);
+        let own = self.engines.values();
+        let own = own.filter(|e| e.entry.service == *service && e.entry.zone == *zone);
+        own.map(|e| e.share(self.options.sharing, place)).sum()
     }
 
     fn set_draining(&mut self, now: Instant, draining: bool) {
--- a/crates/core/src/instance/pace.rs
+++ b/crates/core/src/instance/pace.rs
@@ -14,9 +14,6 @@
 const MIN_RATE: f64 = 0.005;
 /// How long something has to have waited before a wait is foretold.
 const MIN_OBSERVED: Duration = Duration::from_secs(5);
-/// So few waiting requests are let in whatever the rate, so that a tier that
-/// stood still is tried again.
-const MIN_COUNT: usize = 2;
 
 #[derive(Clone, Copy, Debug)]
 struct Answer {
@@ -92,9 +89,12 @@
     }
 
     /// How long the last of `count` waiting requests is likely to wait.
-    pub(super) fn expected_wait(&self, rank: u8, count: usize) -> Option<Duration> {
+    ///
+    /// None is foretold for as few as there are slots: they start soon when
+    /// higher tiers let up, however slow the tier was until then.
+    pub(super) fn expected_wait(&self, rank: u8, count: usize, slots: u32) -> Option<Duration> {
         let tier = self.tiers.get(&rank)?;
-        if tier.observed < MIN_OBSERVED || count <= MIN_COUNT {
+        if tier.observed < MIN_OBSERVED || count <= slots as usize {
             return None;
         }
         Some(Duration::from_secs_f64(count as f64 / tier.rate.max(MIN_RATE)))
