Strike every fault at every millisecond of an order's life

Eleven faults at each of 140 ms of a keyed order with three retries through other instances, pairs of them every 13 ms, and the same for a completion and for a configuration that two operators change. Virtual time; the decision code itself.

--- /dev/null
+++ b/crates/core/tests/matrix.rs
@@ -0,0 +1,306 @@
+//! Every fault at every millisecond of a keyed order's, a plain request's and a
+//! configuration's life, alone and two together, on virtual time.
+
+#[path = "../examples/soak/site.rs"]
+mod site;
+#[path = "../examples/support/mod.rs"]
+mod support;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rosemarypond_core::claim::{Ended, Verdict};
+use rosemarypond_core::config::{Refused, Version};
+use rosemarypond_core::engine::Sharing;
+use rosemarypond_core::event::Event;
+use rosemarypond_core::id;
+use rosemarypond_core::outcome::Outcome;
+use rosemarypond_core::request::{Key, Repeat, Request};
+use rosemarypond_core::unit::Tokens;
+use stakker::Stakker;
+use support::world::{self, Decider, Policy, What, World};
+
+/// An order takes about 120 ms: two trips to the table, the run, the record.
+const LIFE_MS: u64 = 140;
+const SETTLE: Duration = Duration::from_secs(3);
+const HEAL_AFTER: Duration = Duration::from_secs(5);
+const RETRIES_MS: [u64; 3] = [1_500, 7_000, 14_000];
+const RETRY_NODES: [usize; 3] = [2, 4, 1];
+const LENGTH: Duration = Duration::from_secs(60);
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(9);
+
+const START: u64 = 0;
+const RETRY: u64 = 1;
+const FAULT: u64 = 10;
+const HEAL: u64 = 20;
+const CHECK: u64 = 30;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    Kill,
+    Pause,
+    Drain,
+    TableDown,
+    LostAnswers,
+    SlowTable,
+    UpstreamDies,
+    UpstreamSilent,
+    UpstreamSlow,
+    ZoneCut,
+    LostMessages,
+}
+
+const FAULTS: [Fault; 11] = [
+    Fault::Kill,
+    Fault::Pause,
+    Fault::Drain,
+    Fault::TableDown,
+    Fault::LostAnswers,
+    Fault::SlowTable,
+    Fault::UpstreamDies,
+    Fault::UpstreamSilent,
+    Fault::UpstreamSlow,
+    Fault::ZoneCut,
+    Fault::LostMessages,
+];
+
+fn upstreams(world: &World) -> Vec<id::Upstream> {
+    let zone = &world.nodes[0].zone;
+    let own = world.upstream_zone.iter().filter(|(_, z)| *z == zone);
+    own.map(|(id, _)| id.clone()).collect()
+}
+
+/// Strikes the first instance, its zone or what it needs.
+fn strike(world: &mut World, fault: Fault) {
+    match fault {
+        Fault::Kill => world.kill(0),
+        Fault::Pause => world.pause(0),
+        Fault::Drain => world.handle(0, Event::Drain),
+        Fault::TableDown => world.table.down = true,
+        Fault::LostAnswers => world.weather.lost_answers = 1.0,
+        Fault::SlowTable => world.weather.table = Duration::from_millis(700),
+        Fault::ZoneCut => {
+            let zone = world.nodes[0].zone.clone();
+            world.cut_zones.insert(zone);
+        }
+        Fault::LostMessages => world.weather.lost_messages = 1.0,
+        Fault::UpstreamDies | Fault::UpstreamSilent | Fault::UpstreamSlow => {
+            for id in upstreams(world) {
+                strike_upstream(world, &id, fault);
+            }
+        }
+    }
+}
+
+fn strike_upstream(world: &mut World, id: &id::Upstream, fault: Fault) {
+    let Some(engine) = world.engines.get_mut(id) else { return };
+    match fault {
+        Fault::UpstreamSilent => engine.silent = true,
+        Fault::UpstreamSlow => engine.slowdown = 20.0,
+        _ => {
+            engine.alive = false;
+            let jobs: Vec<_> = engine.jobs.keys().copied().collect();
+            for job in jobs {
+                world.end_job(id, job, Some(Ended::Broken));
+            }
+        }
+    }
+}
+
+fn heal(world: &mut World) {
+    if world.nodes[0].decider.is_none() {
+        world.boot(0);
+    } else if world.nodes[0].paused {
+        world.wake(0);
+    }
+    world.handle(0, Event::Undrain);
+    world.table.down = false;
+    world.weather.lost_answers = 0.0;
+    world.weather.lost_messages = 0.0;
+    world.weather.table = Duration::from_millis(4);
+    world.cut_zones.clear();
+    for engine in world.engines.values_mut() {
+        (engine.alive, engine.silent, engine.slowdown) = (true, false, 1.0);
+    }
+}
+
+fn request(world: &mut World, service: &str, repeat: Repeat) -> Request {
+    Request {
+        id: world.next_id(),
+        team: "osei".parse().expect("a valid id"),
+        rank: 0,
+        service: service.parse().expect("a valid id"),
+        repeat,
+        refused: Refused::CloseKey,
+        prompt: Tokens(if service == site::MODELS { 200 } else { 0 }),
+        prefix: Vec::new(),
+        max_answer: None,
+        arrived: world.now,
+        deadline: world.now + Duration::from_secs(20),
+    }
+}
+
+fn order(world: &mut World, node: usize) {
+    if world.nodes[node].decider.is_none() {
+        return;
+    }
+    let key = Key { team: "osei".parse().expect("an id"), text: "order".into(), fingerprint: 1 };
+    let request = request(world, site::ORDERS, Repeat::Keyed(key));
+    world.arrive(node, request, 20);
+}
+
+/// Runs one life with faults at the given times of it.
+fn life(begin: fn(&mut World), retries: bool, faults: &[(Fault, u64)]) -> World {
+    life_with(begin, retries, faults, true)
+}
+
+fn life_with(
+    begin: fn(&mut World),
+    retries: bool,
+    faults: &[(Fault, u64)],
+    conditional: bool,
+) -> World {
+    let start = Instant::now();
+    let mut runtime = Stakker::new(start);
+    let mut world = World::new(start, 1, Policy::Ours(Sharing::Lent));
+    site::build(&mut world);
+    world.table.conditional = conditional;
+    let struck: Vec<_> = faults.iter().map(|(fault, _)| *fault).collect();
+    world.set_hook(move |world, number| match number {
+        START => begin(world),
+        CHECK => in_force(world),
+        HEAL => heal(world),
+        number if number >= FAULT => strike(world, struck[(number - FAULT) as usize]),
+        number => order(world, RETRY_NODES[(number - RETRY) as usize]),
+    });
+    world.after(SETTLE, What::Own(START));
+    for (number, (_, at_ms)) in (FAULT..).zip(faults) {
+        let at = SETTLE + Duration::from_millis(*at_ms);
+        world.after(at, What::Own(number));
+        world.after(at + HEAL_AFTER, What::Own(HEAL));
+        world.after(at + HEAL_AFTER + IN_FORCE_WITHIN, What::Own(CHECK));
+    }
+    if retries {
+        for (number, at_ms) in (RETRY..).zip(RETRIES_MS) {
+            world.after(SETTLE + Duration::from_millis(at_ms), What::Own(number));
+        }
+    }
+    let shared = Rc::new(RefCell::new(world));
+    world::run(&mut runtime, &shared, start + LENGTH);
+    drop(runtime);
+    Rc::into_inner(shared).expect("nothing else holds the world").into_inner()
+}
+
+/// Everything in reach follows the newest version a while after all is well.
+fn in_force(world: &mut World) {
+    let newest = world.table.config.as_ref().map(|(v, _)| *v).unwrap_or_default();
+    for node in &world.nodes {
+        let version = match &node.decider {
+            Some(Decider::Ours(instance)) => instance.config().0,
+            _ => Version::default(),
+        };
+        assert_eq!(version, newest, "{} does not follow", node.id);
+    }
+}
+
+fn check(world: &World, what: &[(Fault, u64)]) {
+    for (request, runs) in &world.run_log {
+        assert!(*runs <= 1, "{what:?}: request {request} was dispatched {runs} times");
+    }
+    let runs = world.key_runs.get("order").copied().unwrap_or(0);
+    assert!(runs <= 1, "{what:?}: the order ran {runs} times");
+    let keyed = |id: &id::Request| {
+        let caller = &world.callers[id];
+        matches!(caller.request.repeat, Repeat::Keyed(_))
+    };
+    for (request, verdict) in world.told.iter().filter(|(id, _)| keyed(id)) {
+        let not_run = matches!(verdict, Verdict::Refuse(Outcome::NotRun, _));
+        assert!(!(not_run && runs > 0), "{what:?}: {request} was called not run, but ran");
+        let ran = matches!(verdict, Verdict::Deliver | Verdict::Replay);
+        assert!(!(ran && runs == 0), "{what:?}: {request} was called run, but did not");
+    }
+    for (request, caller) in &world.callers {
+        let lives = world.nodes[caller.node].life == caller.life;
+        assert!(caller.answered.is_some() || !lives, "{what:?}: {request} got no answer");
+    }
+}
+
+fn orders_survive(fault: Fault) {
+    for at_ms in 0..LIFE_MS {
+        let faults = [(fault, at_ms)];
+        check(&life(|world| order(world, 0), true, &faults), &faults);
+    }
+}
+
+/// Two faults, of which the second comes soon after the first.
+fn orders_survive_two(first: Fault) {
+    for second in FAULTS.into_iter().filter(|second| *second != first) {
+        for at_ms in (0..LIFE_MS).step_by(13) {
+            let faults = [(first, at_ms), (second, at_ms + 7)];
+            check(&life(|world| order(world, 0), true, &faults), &faults);
+        }
+    }
+}
+
+fn completion(world: &mut World) {
+    let request = request(world, site::MODELS, Repeat::Idempotent);
+    world.arrive(0, request, 4);
+}
+
+fn completions_survive(fault: Fault) {
+    for at_ms in (0..LIFE_MS).step_by(3) {
+        let faults = [(fault, at_ms)];
+        check(&life(completion, false, &faults), &faults);
+    }
+}
+
+/// Two operators change the same version at once; one wins, everywhere.
+fn change(world: &mut World) {
+    let (seen, document) = world.table.config.clone().expect("there is a configuration");
+    let mut changed = (*document).clone();
+    changed.upstreams[0].leaving = true;
+    let won = world.table.configure(seen, changed.clone());
+    assert!(!world.table.configure(seen, changed), "both operators won");
+    assert!(won || world.table.down);
+}
+
+fn configurations_survive(fault: Fault) {
+    for at_ms in (0..4_000).step_by(211) {
+        life(change, false, &[(fault, at_ms)]);
+    }
+}
+
+/// A matrix that could not fail would prove nothing.
+#[test]
+#[should_panic(expected = "the order ran 2 times")]
+fn finds_a_table_without_conditions() {
+    let faults = [(Fault::Pause, 0)];
+    check(&life_with(|world| order(world, 0), true, &faults, false), &faults);
+}
+
+macro_rules! cases {
+    ($($name:ident: $fault:expr;)*) => {
+        $(mod $name {
+            use super::*;
+            #[test] fn order() { orders_survive($fault) }
+            #[test] fn order_and_a_second_fault() { orders_survive_two($fault) }
+            #[test] fn completion() { completions_survive($fault) }
+            #[test] fn configuration() { configurations_survive($fault) }
+        })*
+    };
+}
+
+cases! {
+    kill: Fault::Kill;
+    pause: Fault::Pause;
+    drain: Fault::Drain;
+    table_down: Fault::TableDown;
+    lost_answers: Fault::LostAnswers;
+    slow_table: Fault::SlowTable;
+    upstream_dies: Fault::UpstreamDies;
+    upstream_silent: Fault::UpstreamSilent;
+    upstream_slow: Fault::UpstreamSlow;
+    zone_cut: Fault::ZoneCut;
+    lost_messages: Fault::LostMessages;
+}
