Prove that foreign pieces stay out, and a start without the platform

An engine that sends a piece with another request's id: the piece is not forwarded and the stream is taken up whole. An instance that starts while the platform is frozen is alive, not ready, and refuses truthfully.

The test of a forged resume token was wrong: it replaced every 'A', and a token without one (seen once in about ten runs) stayed right and was rightly accepted.

--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -160,6 +160,31 @@
     assert!(body.ends_with("data: [DONE]\n\n"), "{body}");
 }
 
+/// A piece of another request is not forwarded; the stream is taken up again.
+fn foreign_piece() {
+    let site = Site::start(&["accra-a"]);
+    site.engine_behaviour(0, &json!({ "foreign": 1 }));
+    let answer = complete(site.daemons[0].http, TEAM, &prompt("In memory of Efua", 8, true));
+    let body = answer.expect("an answer").body;
+    assert!(!body.contains("foreign"), "{body}");
+    assert_eq!(body.matches("data: {").count(), 8, "{body}");
+    assert!(body.ends_with("data: [DONE]\n\n"), "{body}");
+}
+
+/// Without a configuration an instance is alive, but not ready, and refuses.
+fn new_instance_without_platform() {
+    let mut site = Site::start(&[]);
+    site.platform.signal("STOP");
+    site.add("new", "accra-a");
+    let to = site.daemons[0].http;
+    assert_eq!(get(to, "/healthz", None).expect("an answer").status, 200);
+    assert!(!site.daemons[0].is_ready());
+    let refused = site.order(0, "early").expect("an answer");
+    assert_eq!((refused.status, refused.outcome().as_str()), (503, "unknown"));
+    site.platform.signal("CONT");
+    site.wait_until("it is ready", |site| site.daemons[0].is_ready());
+}
+
 fn silent_stream() {
     let site = Site::start(&["accra-a"]);
     site.engine_behaviour(0, &json!({ "token_ms": 100 }));
@@ -191,7 +216,11 @@
     assert_eq!(rest.body.matches("data: {").count(), 3, "{}", rest.body);
     assert!(whole.body.ends_with(&rest.body));
     assert_eq!(resume(OTHER_TEAM, &token).status, 403);
-    assert_eq!(resume(TEAM, &token.replace('A', "B")).status, 403);
+    // Each character of the token matters.
+    let middle = token.len() / 2;
+    let other = if token.as_bytes()[middle] == b'A' { "B" } else { "A" };
+    let forged = format!("{}{other}{}", &token[..middle], &token[middle + 1..]);
+    assert_eq!(resume(TEAM, &forged).status, 403);
 }
 
 fn two_operators() {
@@ -314,6 +343,8 @@
     claim_answer_lost => lost_answer_of_the_claim();
     zone_cut_off => zone_cut();
     stream_broken => broken_stream();
+    piece_of_another_request => foreign_piece();
+    started_without_platform => new_instance_without_platform();
     stream_silent => silent_stream();
     stream_resumed_elsewhere => stream_through_another_instance();
     operators_in_conflict => two_operators();
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -31,6 +31,8 @@
     pub silent: bool,
     /// How many of the next streams break off after their second token.
     pub breaks: u32,
+    /// How many of the next third tokens carry the id of another request.
+    pub foreign: u32,
     /// How old its load report is, in milliseconds.
     pub report_lag_ms: u64,
     /// Every so many cache events one is lost; 0 for none.
@@ -50,6 +52,7 @@
             slowdown: 1,
             silent: false,
             breaks: 0,
+            foreign: 0,
             report_lag_ms: 500,
             lost_event_every: 7,
             leaving: false,
@@ -310,6 +313,11 @@
         if !waits_for_token(state, id, place) {
             return;
         }
+        if place == 2 && takes_foreign(state) {
+            let piece = json!({ "id": "0", "choices": [{ "delta": { "content": "foreign" } }] });
+            let _ = chunks.send(format!("data: {piece}\n\n"));
+            return;
+        }
         let piece = json!({ "id": id, "choices": [{ "index": 0, "delta": { "content": word } }] });
         if chunks.send(format!("data: {piece}\n\n")).is_err() {
             return;
@@ -318,6 +326,13 @@
     let _ = chunks.send("data: [DONE]\n\n").and_then(|()| chunks.end());
 }
 
+fn takes_foreign(state: &Mutex<State>) -> bool {
+    let mut locked = state.lock().expect("no holder panics");
+    let takes = locked.behaviour.foreign > 0;
+    locked.behaviour.foreign = locked.behaviour.foreign.saturating_sub(1);
+    takes
+}
+
 /// Waits for the next token; says no where the stream breaks off.
 fn waits_for_token(state: &Mutex<State>, id: &str, place: usize) -> bool {
     loop {
