--- a/crates/core/examples/load/scenario.rs
+++ b/crates/core/examples/load/scenario.rs
@@ -101,9 +101,9 @@
     let id = world.next_id();
     let now = world.now;
     let (request, tokens) = mix.draw(&mut world.load_rng, id, service, now);
-    let alive: Vec<_> =
-        (0..world.nodes.len()).filter(|n| world.nodes[*n].decider.is_some()).collect();
-    let node = alive[world.load_rng.random_range(0..alive.len())];
+    // The balancer sends requests to instances that are ready only.
+    let ready: Vec<_> = (0..world.nodes.len()).filter(|n| world.is_ready(*n)).collect();
+    let node = ready[world.load_rng.random_range(0..ready.len())];
     world.arrive(node, request, tokens);
 }
 
--- a/crates/core/examples/support/balancer.rs
+++ b/crates/core/examples/support/balancer.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Whether it knows upstreams to send requests to.
+    pub fn is_ready(&self) -> bool {
+        !self.upstreams.is_empty()
+    }
+
     fn configure(&mut self, document: &Document) {
         let own = document.upstreams.iter().filter(|u| u.zone == self.zone);
         self.upstreams = own.map(|u| (u.id.clone(), u.service.clone())).collect();
--- a/crates/core/examples/support/world.rs
+++ b/crates/core/examples/support/world.rs
@@ -294,6 +294,15 @@
         }
     }
 
+    /// Whether an instance may be sent requests.
+    pub fn is_ready(&self, place: usize) -> bool {
+        match &self.nodes[place].decider {
+            Some(Decider::Ours(instance)) => instance.is_ready(),
+            Some(Decider::Baseline(balancer)) => balancer.is_ready(),
+            None => false,
+        }
+    }
+
     pub fn pause(&mut self, place: usize) {
         self.nodes[place].paused = true;
     }
