--- /dev/null
+++ b/crates/core/examples/support/world/jobs.rs
@@ -0,0 +1,186 @@
+//! Requests on their upstreams, and what their callers are told.
+
+use std::time::Duration;
+
+use rosemarypond_core::claim::{Ended, Verdict};
+use rosemarypond_core::engine::BLOCK_TOKENS;
+use rosemarypond_core::event::Event;
+use rosemarypond_core::id;
+use rosemarypond_core::request::Repeat;
+use rosemarypond_core::unit::Tokens;
+
+use super::{CALL_GRACE, Policy, What, World};
+use crate::support::engine::{Job, Started};
+
+impl World {
+    /// The final answer of a request.
+    pub fn answer(&mut self, request: id::Request, verdict: Verdict) {
+        self.told.push((request, verdict));
+        let now = self.now;
+        let Some(caller) = self.callers.get_mut(&request) else { return };
+        if caller.answered.is_some() {
+            return;
+        }
+        caller.answered = Some(verdict);
+        let rank = caller.request.rank;
+        match verdict {
+            Verdict::Deliver | Verdict::Replay if now <= caller.request.deadline => {
+                *self.tally.good.entry(rank).or_default() += 1;
+            }
+            Verdict::Refuse(outcome, reason) => {
+                *self.tally.refused.entry(rank).or_default() += 1;
+                *self.tally.reasons.entry((rank, outcome, reason)).or_default() += 1;
+            }
+            Verdict::Deliver | Verdict::Replay => {}
+        }
+    }
+
+    pub(super) fn reach(
+        &mut self,
+        node: usize,
+        life: u64,
+        request: id::Request,
+        upstream: id::Upstream,
+    ) {
+        if self.nodes[node].life != life || self.nodes[node].decider.is_none() {
+            return;
+        }
+        let Some(caller) = self.callers.get_mut(&request) else { return };
+        let (wanted, tokens) = (caller.request.clone(), caller.tokens);
+        caller.upstream = Some(upstream.clone());
+        let zone = &self.upstream_zone[&upstream];
+        let cut = self.cut_zones.contains(zone) && self.nodes[node].zone != *zone;
+        let refused = cut || !self.engines[&upstream].alive;
+        if refused {
+            self.ended(node, life, request, Ended::NotDispatched, 0);
+            return;
+        }
+        self.started_at.push((self.now, upstream.clone()));
+        *self.run_log.entry(request).or_default() += 1;
+        if let Repeat::Keyed(key) = &wanted.repeat {
+            *self.key_runs.entry(key.text.clone()).or_default() += 1;
+        }
+        self.next_job += 1;
+        let number = self.next_job;
+        let job = Job {
+            request: wanted,
+            node,
+            life,
+            tokens,
+            uncached: 0,
+            began: false,
+            first_sent: false,
+        };
+        let now = self.now;
+        let limit = job.request.deadline.saturating_duration_since(now) + CALL_GRACE;
+        self.after(limit, What::CallLimit { upstream: upstream.clone(), job: number });
+        let engine = self.engines.get_mut(&upstream).expect("the upstream is known");
+        let started = engine.admit(number, job, now);
+        self.started(&upstream, started);
+    }
+
+    pub(super) fn started(&mut self, upstream: &id::Upstream, started: Option<Started>) {
+        let Some(started) = started else { return };
+        let engine = &self.engines[upstream];
+        let job = &engine.jobs[&started.job];
+        let cached = job.request.prompt.0 - job.uncached;
+        let zone = self.upstream_zone[upstream].clone();
+        let first_block = (cached / BLOCK_TOKENS) as usize;
+        let blocks = job.request.prefix[first_block.min(job.request.prefix.len())..].to_vec();
+        self.tally.prefill += u64::from(job.uncached);
+        for block in blocks {
+            if !self.seen_blocks.insert((zone.clone(), block)) {
+                self.tally.repeated_prefill += u64::from(BLOCK_TOKENS);
+            }
+        }
+        let job = started.job;
+        self.after(started.first_in, What::First { upstream: upstream.clone(), job });
+        self.after(started.done_in, What::Done { upstream: upstream.clone(), job });
+        self.after(Duration::from_millis(1_500), What::Publish { upstream: upstream.clone() });
+    }
+
+    pub(super) fn first(&mut self, upstream: &id::Upstream, number: u64) {
+        let Some(engine) = self.engines.get_mut(upstream) else { return };
+        if engine.silent {
+            return;
+        }
+        let gap = engine.token_gap();
+        let Some(job) = engine.jobs.get_mut(&number) else { return };
+        job.first_sent = true;
+        let (node, life, id) = (job.node, job.life, job.request.id);
+        let taken = self.now.saturating_duration_since(job.request.arrived);
+        let tokens = job.tokens;
+        self.tally.first_token(taken);
+        self.tally.gaps(gap, tokens);
+        let event = Box::new(Event::FirstToken(id));
+        let hop = self.weather.hop;
+        self.after(hop, What::Deliver { node, life, event });
+    }
+
+    pub(super) fn done(&mut self, upstream: &id::Upstream, number: u64) {
+        if self.engines.get(upstream).is_none_or(|e| e.silent) {
+            return;
+        }
+        self.end_job(upstream, number, Some(Ended::Whole));
+    }
+
+    /// Ends a job and starts the next; the instance is told where it lives.
+    pub fn end_job(&mut self, upstream: &id::Upstream, number: u64, how: Option<Ended>) {
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(upstream) else { return };
+        let Some(job) = engine.remove(number) else { return };
+        let next = engine.start_next(now);
+        self.started(upstream, next);
+        let reached = how == Some(Ended::Whole)
+            && self.callers.get(&job.request.id).is_some_and(|c| c.answered.is_none());
+        if job.began && !reached {
+            self.tally.cut_prefill += u64::from(job.uncached);
+        }
+        if let Some(how) = how {
+            self.ended(job.node, job.life, job.request.id, how, job.tokens);
+        }
+        if self.policy == Policy::Oracle {
+            self.pump_oracle();
+        }
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        node: usize,
+        life: u64,
+        request: id::Request,
+        how: Ended,
+        tokens: u32,
+    ) {
+        if self.policy == Policy::Oracle {
+            if how == Ended::Whole {
+                self.answer(request, Verdict::Deliver);
+            }
+            return;
+        }
+        let event = Box::new(Event::Ended { request, how, tokens: Tokens(tokens) });
+        let hop = self.weather.hop;
+        self.after(hop, What::Deliver { node, life, event });
+    }
+
+    pub(super) fn stop(&mut self, node: usize, life: u64, request: id::Request) {
+        let Some(upstream) = self.callers.get(&request).and_then(|c| c.upstream.clone()) else {
+            return;
+        };
+        if let Some(number) = self.engines[&upstream].find(node, life, request) {
+            self.end_job(&upstream, number, Some(Ended::Broken));
+        }
+    }
+
+    pub(super) fn caller_timeout(&mut self, request: id::Request) {
+        let Some(caller) = self.callers.get(&request) else { return };
+        if caller.answered.is_some() {
+            return;
+        }
+        let node = caller.node;
+        if self.policy == Policy::Oracle {
+            self.oracle.retain(|r| *r != request);
+        }
+        self.handle(node, Event::CallerLeft(request));
+    }
+}
--- /dev/null
+++ b/crates/core/examples/support/world/links.rs
@@ -0,0 +1,135 @@
+//! What goes between instances, the table and the platform.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rosemarypond_core::claim::{Read, Write};
+use rosemarypond_core::event::Event;
+use rosemarypond_core::id;
+use rosemarypond_core::member::{Body, Message};
+
+use super::{Decider, LateWrite, What, World};
+
+impl World {
+    pub(super) fn table_delay(&mut self) -> Duration {
+        let least = self.weather.table;
+        least + least.mul_f64(self.rng.random_range(0.0..1.0))
+    }
+
+    pub(super) fn reaches_platform(&self, node: usize) -> bool {
+        !self.cut_zones.contains(&self.nodes[node].zone)
+    }
+
+    pub(super) fn read(
+        &mut self,
+        node: usize,
+        life: u64,
+        request: id::Request,
+        key: &rosemarypond_core::request::Key,
+    ) {
+        let lost = self.rng.random_bool(self.weather.lost_answers) || !self.reaches_platform(node);
+        let answer = if lost { Read::Lost } else { self.table.read(key) };
+        let delay = self.table_delay();
+        let event = Box::new(Event::Read { request, answer });
+        self.after(delay, What::Deliver { node, life, event });
+    }
+
+    pub(super) fn write(&mut self, node: usize, life: u64, request: id::Request, write: LateWrite) {
+        if !self.reaches_platform(node) {
+            self.tell_written(node, life, request, Write::Lost);
+            return;
+        }
+        // A lost answer leaves open whether the write takes effect, and when.
+        if write.tell && self.rng.random_bool(self.weather.lost_answers) {
+            self.tell_written(node, life, request, Write::Lost);
+            if self.rng.random_bool(0.7) {
+                let late = LateWrite { tell: false, ..write };
+                let delay = Duration::from_millis(self.rng.random_range(0..3_000));
+                self.after(delay, What::Write { node, life, request, write: late });
+            }
+            return;
+        }
+        let answer = self.table.write(&write.key, write.expected, write.record);
+        if write.tell {
+            self.tell_written(node, life, request, answer);
+        }
+    }
+
+    pub(super) fn tell_written(
+        &mut self,
+        node: usize,
+        life: u64,
+        request: id::Request,
+        answer: Write,
+    ) {
+        let event = Box::new(Event::Written { request, answer });
+        let delay = self.weather.table;
+        self.after(delay, What::Deliver { node, life, event });
+    }
+
+    pub(super) fn are_linked(&self, a: usize, b: usize) -> bool {
+        let (a, b) = (&self.nodes[a].zone, &self.nodes[b].zone);
+        a == b || !(self.cut_zones.contains(a) || self.cut_zones.contains(b))
+    }
+
+    pub(super) fn send(&mut self, from: usize, to: &id::Instance, message: Message) {
+        let Some(to) = self.nodes.iter().position(|n| n.id == *to) else { return };
+        if !self.are_linked(from, to) || self.rng.random_bool(self.weather.lost_messages) {
+            return;
+        }
+        let life = self.nodes[to].life;
+        let delay = self.weather.hop.mul_f64(self.rng.random_range(0.5..2.0));
+        let event = Box::new(Event::Heard(message));
+        self.after(delay, What::Deliver { node: to, life, event });
+    }
+
+    pub(super) fn broadcast(&mut self, from: usize, own_zone: bool, body: Body) {
+        let now = self.now;
+        let Some(Decider::Ours(instance)) = &mut self.nodes[from].decider else { return };
+        let message = instance.message(now, body);
+        let is_meant =
+            |n: &usize| *n != from && (self.nodes[*n].zone == self.nodes[from].zone) == own_zone;
+        let others: Vec<_> =
+            (0..self.nodes.len()).filter(is_meant).map(|n| self.nodes[n].id.clone()).collect();
+        for to in others {
+            self.send(from, &to, message.clone());
+        }
+    }
+
+    pub(super) fn poll(&mut self, node: usize, life: u64) {
+        let alive = self.nodes[node].life == life && self.nodes[node].decider.is_some();
+        if !alive {
+            return;
+        }
+        if self.reaches_platform(node)
+            && !self.table.down
+            && let Some((version, document)) = self.table.config.clone()
+        {
+            self.table.reads += 1;
+            let event = Box::new(Event::Configured { version, document });
+            let delay = self.weather.table;
+            self.after(delay, What::Deliver { node, life, event });
+        }
+        let wait = Duration::from_millis(self.rng.random_range(1_500..2_500));
+        self.after(wait, What::Poll { node, life });
+    }
+
+    pub(super) fn publish(&mut self, upstream: &id::Upstream) {
+        let Some(engine) = self.engines.get_mut(upstream) else { return };
+        let events = std::mem::take(&mut engine.published);
+        if events.is_empty() {
+            return;
+        }
+        let kept: Vec<_> = events.into_iter().filter(|_| self.rng.random_bool(0.85)).collect();
+        let pick = |stored| kept.iter().filter(|e| e.0 == stored).map(|e| e.1).collect::<Vec<_>>();
+        let (stored, evicted) = (pick(true), pick(false));
+        let zone = self.upstream_zone[upstream].clone();
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].zone == zone {
+                let (upstream, stored, evicted) =
+                    (upstream.clone(), stored.clone(), evicted.clone());
+                self.handle(node, Event::Cache { upstream, stored, evicted });
+            }
+        }
+    }
+}
--- a/crates/core/examples/support/world.rs
+++ b/crates/core/examples/support/world/mod.rs
@@ -1,5 +1,9 @@
 //! Instances, fakes and callers, and the events between them.
 
+mod jobs;
+mod links;
+mod oracle;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
@@ -8,22 +12,20 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rosemarypond_core::claim::{Ended, Read, Verdict, Write};
+use rosemarypond_core::claim::{Ended, Verdict};
 use rosemarypond_core::config::{self, Document};
-use rosemarypond_core::engine::{BLOCK_TOKENS, Sharing};
+use rosemarypond_core::engine::Sharing;
 use rosemarypond_core::event::{Action, Event};
 use rosemarypond_core::id;
 use rosemarypond_core::instance::{Identity, Instance, Options, TICK_INTERVAL};
-use rosemarypond_core::member::{Body, Message};
 use rosemarypond_core::outcome::{Outcome, Reason};
-use rosemarypond_core::request::{Repeat, Request};
-use rosemarypond_core::unit::Tokens;
+use rosemarypond_core::request::Request;
 use stakker::Stakker;
 
-use super::balancer::{Balancer, Choice};
-use super::engine::{Engine, Job, Speed, Started};
-use super::table::Table;
-use super::tally::Tally;
+use crate::support::balancer::{Balancer, Choice};
+use crate::support::engine::{Engine, Speed};
+use crate::support::table::Table;
+use crate::support::tally::Tally;
 
 /// How the requests are decided on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -374,7 +376,7 @@
             Action::Read { request, key } => self.read(node, life, request, &key),
             Action::Write { request, key, expected, record } => {
                 let write = LateWrite { key, expected, record, tell: true };
-                let delay = self.table_delay(node);
+                let delay = self.table_delay();
                 self.after(delay, What::Write { node, life, request, write });
             }
             Action::Send { to, message } => self.send(node, &to, message),
@@ -382,314 +384,6 @@
         }
     }
 
-    fn table_delay(&mut self, _node: usize) -> Duration {
-        let least = self.weather.table;
-        least + least.mul_f64(self.rng.random_range(0.0..1.0))
-    }
-
-    fn reaches_platform(&self, node: usize) -> bool {
-        !self.cut_zones.contains(&self.nodes[node].zone)
-    }
-
-    fn read(
-        &mut self,
-        node: usize,
-        life: u64,
-        request: id::Request,
-        key: &rosemarypond_core::request::Key,
-    ) {
-        let lost = self.rng.random_bool(self.weather.lost_answers) || !self.reaches_platform(node);
-        let answer = if lost { Read::Lost } else { self.table.read(key) };
-        let delay = self.table_delay(node);
-        let event = Box::new(Event::Read { request, answer });
-        self.after(delay, What::Deliver { node, life, event });
-    }
-
-    fn write(&mut self, node: usize, life: u64, request: id::Request, write: LateWrite) {
-        if !self.reaches_platform(node) {
-            self.tell_written(node, life, request, Write::Lost);
-            return;
-        }
-        // A lost answer leaves open whether the write takes effect, and when.
-        if write.tell && self.rng.random_bool(self.weather.lost_answers) {
-            self.tell_written(node, life, request, Write::Lost);
-            if self.rng.random_bool(0.7) {
-                let late = LateWrite { tell: false, ..write };
-                let delay = Duration::from_millis(self.rng.random_range(0..3_000));
-                self.after(delay, What::Write { node, life, request, write: late });
-            }
-            return;
-        }
-        let answer = self.table.write(&write.key, write.expected, write.record);
-        if write.tell {
-            self.tell_written(node, life, request, answer);
-        }
-    }
-
-    fn tell_written(&mut self, node: usize, life: u64, request: id::Request, answer: Write) {
-        let event = Box::new(Event::Written { request, answer });
-        let delay = self.weather.table;
-        self.after(delay, What::Deliver { node, life, event });
-    }
-
-    fn are_linked(&self, a: usize, b: usize) -> bool {
-        let (a, b) = (&self.nodes[a].zone, &self.nodes[b].zone);
-        a == b || !(self.cut_zones.contains(a) || self.cut_zones.contains(b))
-    }
-
-    fn send(&mut self, from: usize, to: &id::Instance, message: Message) {
-        let Some(to) = self.nodes.iter().position(|n| n.id == *to) else { return };
-        if !self.are_linked(from, to) || self.rng.random_bool(self.weather.lost_messages) {
-            return;
-        }
-        let life = self.nodes[to].life;
-        let delay = self.weather.hop.mul_f64(self.rng.random_range(0.5..2.0));
-        let event = Box::new(Event::Heard(message));
-        self.after(delay, What::Deliver { node: to, life, event });
-    }
-
-    fn broadcast(&mut self, from: usize, own_zone: bool, body: Body) {
-        let now = self.now;
-        let Some(Decider::Ours(instance)) = &mut self.nodes[from].decider else { return };
-        let message = instance.message(now, body);
-        let is_meant =
-            |n: &usize| *n != from && (self.nodes[*n].zone == self.nodes[from].zone) == own_zone;
-        let others: Vec<_> =
-            (0..self.nodes.len()).filter(is_meant).map(|n| self.nodes[n].id.clone()).collect();
-        for to in others {
-            self.send(from, &to, message.clone());
-        }
-    }
-
-    /// The final answer of a request.
-    pub fn answer(&mut self, request: id::Request, verdict: Verdict) {
-        self.told.push((request, verdict));
-        let now = self.now;
-        let Some(caller) = self.callers.get_mut(&request) else { return };
-        if caller.answered.is_some() {
-            return;
-        }
-        caller.answered = Some(verdict);
-        let rank = caller.request.rank;
-        match verdict {
-            Verdict::Deliver | Verdict::Replay if now <= caller.request.deadline => {
-                *self.tally.good.entry(rank).or_default() += 1;
-            }
-            Verdict::Refuse(outcome, reason) => {
-                *self.tally.refused.entry(rank).or_default() += 1;
-                *self.tally.reasons.entry((rank, outcome, reason)).or_default() += 1;
-            }
-            Verdict::Deliver | Verdict::Replay => {}
-        }
-    }
-
-    fn reach(&mut self, node: usize, life: u64, request: id::Request, upstream: id::Upstream) {
-        if self.nodes[node].life != life || self.nodes[node].decider.is_none() {
-            return;
-        }
-        let Some(caller) = self.callers.get_mut(&request) else { return };
-        let (wanted, tokens) = (caller.request.clone(), caller.tokens);
-        caller.upstream = Some(upstream.clone());
-        let zone = &self.upstream_zone[&upstream];
-        let cut = self.cut_zones.contains(zone) && self.nodes[node].zone != *zone;
-        let refused = cut || !self.engines[&upstream].alive;
-        if refused {
-            self.ended(node, life, request, Ended::NotDispatched, 0);
-            return;
-        }
-        self.started_at.push((self.now, upstream.clone()));
-        *self.run_log.entry(request).or_default() += 1;
-        if let Repeat::Keyed(key) = &wanted.repeat {
-            *self.key_runs.entry(key.text.clone()).or_default() += 1;
-        }
-        self.next_job += 1;
-        let number = self.next_job;
-        let job = Job {
-            request: wanted,
-            node,
-            life,
-            tokens,
-            uncached: 0,
-            began: false,
-            first_sent: false,
-        };
-        let now = self.now;
-        let limit = job.request.deadline.saturating_duration_since(now) + CALL_GRACE;
-        self.after(limit, What::CallLimit { upstream: upstream.clone(), job: number });
-        let engine = self.engines.get_mut(&upstream).expect("the upstream is known");
-        let started = engine.admit(number, job, now);
-        self.started(&upstream, started);
-    }
-
-    fn started(&mut self, upstream: &id::Upstream, started: Option<Started>) {
-        let Some(started) = started else { return };
-        let engine = &self.engines[upstream];
-        let job = &engine.jobs[&started.job];
-        let cached = job.request.prompt.0 - job.uncached;
-        let zone = self.upstream_zone[upstream].clone();
-        let first_block = (cached / BLOCK_TOKENS) as usize;
-        let blocks = job.request.prefix[first_block.min(job.request.prefix.len())..].to_vec();
-        self.tally.prefill += u64::from(job.uncached);
-        for block in blocks {
-            if !self.seen_blocks.insert((zone.clone(), block)) {
-                self.tally.repeated_prefill += u64::from(BLOCK_TOKENS);
-            }
-        }
-        let job = started.job;
-        self.after(started.first_in, What::First { upstream: upstream.clone(), job });
-        self.after(started.done_in, What::Done { upstream: upstream.clone(), job });
-        self.after(Duration::from_millis(1_500), What::Publish { upstream: upstream.clone() });
-    }
-
-    fn first(&mut self, upstream: &id::Upstream, number: u64) {
-        let Some(engine) = self.engines.get_mut(upstream) else { return };
-        if engine.silent {
-            return;
-        }
-        let gap = engine.token_gap();
-        let Some(job) = engine.jobs.get_mut(&number) else { return };
-        job.first_sent = true;
-        let (node, life, id) = (job.node, job.life, job.request.id);
-        let taken = self.now.saturating_duration_since(job.request.arrived);
-        let tokens = job.tokens;
-        self.tally.first_token(taken);
-        self.tally.gaps(gap, tokens);
-        let event = Box::new(Event::FirstToken(id));
-        let hop = self.weather.hop;
-        self.after(hop, What::Deliver { node, life, event });
-    }
-
-    fn done(&mut self, upstream: &id::Upstream, number: u64) {
-        if self.engines.get(upstream).is_none_or(|e| e.silent) {
-            return;
-        }
-        self.end_job(upstream, number, Some(Ended::Whole));
-    }
-
-    /// Ends a job and starts the next; the instance is told where it lives.
-    pub fn end_job(&mut self, upstream: &id::Upstream, number: u64, how: Option<Ended>) {
-        let now = self.now;
-        let Some(engine) = self.engines.get_mut(upstream) else { return };
-        let Some(job) = engine.remove(number) else { return };
-        let next = engine.start_next(now);
-        self.started(upstream, next);
-        let reached = how == Some(Ended::Whole)
-            && self.callers.get(&job.request.id).is_some_and(|c| c.answered.is_none());
-        if job.began && !reached {
-            self.tally.cut_prefill += u64::from(job.uncached);
-        }
-        if let Some(how) = how {
-            self.ended(job.node, job.life, job.request.id, how, job.tokens);
-        }
-        if self.policy == Policy::Oracle {
-            self.pump_oracle();
-        }
-    }
-
-    fn ended(&mut self, node: usize, life: u64, request: id::Request, how: Ended, tokens: u32) {
-        if self.policy == Policy::Oracle {
-            if how == Ended::Whole {
-                self.answer(request, Verdict::Deliver);
-            }
-            return;
-        }
-        let event = Box::new(Event::Ended { request, how, tokens: Tokens(tokens) });
-        let hop = self.weather.hop;
-        self.after(hop, What::Deliver { node, life, event });
-    }
-
-    fn stop(&mut self, node: usize, life: u64, request: id::Request) {
-        let Some(upstream) = self.callers.get(&request).and_then(|c| c.upstream.clone()) else {
-            return;
-        };
-        if let Some(number) = self.engines[&upstream].find(node, life, request) {
-            self.end_job(&upstream, number, Some(Ended::Broken));
-        }
-    }
-
-    fn caller_timeout(&mut self, request: id::Request) {
-        let Some(caller) = self.callers.get(&request) else { return };
-        if caller.answered.is_some() {
-            return;
-        }
-        let node = caller.node;
-        if self.policy == Policy::Oracle {
-            self.oracle.retain(|r| *r != request);
-        }
-        self.handle(node, Event::CallerLeft(request));
-    }
-
-    fn poll(&mut self, node: usize, life: u64) {
-        let alive = self.nodes[node].life == life && self.nodes[node].decider.is_some();
-        if !alive {
-            return;
-        }
-        if self.reaches_platform(node)
-            && !self.table.down
-            && let Some((version, document)) = self.table.config.clone()
-        {
-            self.table.reads += 1;
-            let event = Box::new(Event::Configured { version, document });
-            let delay = self.weather.table;
-            self.after(delay, What::Deliver { node, life, event });
-        }
-        let wait = Duration::from_millis(self.rng.random_range(1_500..2_500));
-        self.after(wait, What::Poll { node, life });
-    }
-
-    fn publish(&mut self, upstream: &id::Upstream) {
-        let Some(engine) = self.engines.get_mut(upstream) else { return };
-        let events = std::mem::take(&mut engine.published);
-        if events.is_empty() {
-            return;
-        }
-        let kept: Vec<_> = events.into_iter().filter(|_| self.rng.random_bool(0.85)).collect();
-        let pick = |stored| kept.iter().filter(|e| e.0 == stored).map(|e| e.1).collect::<Vec<_>>();
-        let (stored, evicted) = (pick(true), pick(false));
-        let zone = self.upstream_zone[upstream].clone();
-        for node in 0..self.nodes.len() {
-            if self.nodes[node].zone == zone {
-                let (upstream, stored, evicted) =
-                    (upstream.clone(), stored.clone(), evicted.clone());
-                self.handle(node, Event::Cache { upstream, stored, evicted });
-            }
-        }
-    }
-
-    /// The all-knowing queue: highest tier first, then the shortest true time
-    /// on the upstream that finishes it first, if that is in time.
-    fn pump_oracle(&mut self) {
-        loop {
-            let mut best: Option<(u8, Duration, id::Request, id::Upstream)> = None;
-            for id in &self.oracle {
-                let caller = &self.callers[id];
-                if best.as_ref().is_some_and(|b| b.0 < caller.request.rank) {
-                    continue;
-                }
-                let zone = &self.nodes[caller.node].zone;
-                let free = self.engines.iter().filter(|(u, e)| {
-                    e.alive && e.running() < e.speed.slots && self.upstream_zone[*u] == *zone
-                });
-                let timed = free.map(|(u, e)| {
-                    (e.true_time(&caller.request, caller.tokens, self.now), u.clone())
-                });
-                let Some((time, upstream)) = timed.min() else { continue };
-                if self.now + time > caller.request.deadline {
-                    continue;
-                }
-                let candidate = (caller.request.rank, time, *id, upstream);
-                if best.as_ref().is_none_or(|b| candidate < *b) {
-                    best = Some(candidate);
-                }
-            }
-            let Some((_, _, id, upstream)) = best else { return };
-            self.oracle.retain(|r| *r != id);
-            let node = self.callers[&id].node;
-            let life = self.nodes[node].life;
-            self.reach(node, life, id, upstream);
-        }
-    }
-
     pub fn fire(&mut self, now: Instant, what: What) {
         self.now = self.now.max(now);
         match what {
