Say what stands twice once

The settings of HTTP clients stood in four places, and the measuring programs each started daemons in their own way; both are one module now.

--- a/crates/core/examples/load/workload.rs
+++ b/crates/core/examples/load/workload.rs
@@ -6,8 +6,8 @@
 use rand_chacha::ChaCha8Rng;
 use rosemarypond_core::config::{self, Document, Kind, Refused, Tier, Upstream};
 use rosemarypond_core::engine::BLOCK_TOKENS;
+use rosemarypond_core::hash::spread;
 use rosemarypond_core::id;
-use rosemarypond_core::queue::spread;
 use rosemarypond_core::request::{Repeat, Request};
 use rosemarypond_core::unit::Tokens;
 
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use crate::config;
+use crate::hash::spread;
 use crate::id;
-use crate::queue::spread;
 use crate::request::Request;
 use crate::unit::{Rate, Tokens};
 
--- /dev/null
+++ b/crates/core/src/hash.rs
@@ -0,0 +1,17 @@
+//! A hash that is the same on every instance and in every release.
+
+use std::hash::{Hash, Hasher};
+
+use siphasher::sip::SipHasher13;
+
+/// Spreads values evenly over the numbers.
+///
+/// ```
+/// use rosemarypond_core::hash::spread;
+/// assert_eq!(spread("e1"), spread("e1"));
+/// ```
+pub fn spread(value: impl Hash) -> u64 {
+    let mut hasher = SipHasher13::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -357,7 +357,7 @@
     fn retry_after(&self, request: &Request) -> Duration {
         let size = Size::of(request.prompt);
         let backlog = self.expected_wait(&request.service, request.rank, size).unwrap_or_default();
-        let spread = (crate::queue::spread(request.id) % 512) as f64 / 1_024.0;
+        let spread = (crate::hash::spread(request.id) % 512) as f64 / 1_024.0;
         let after = backlog.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER).mul_f64(1.0 + spread);
         after.min(MAX_RETRY_AFTER)
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod engine;
 pub mod event;
+pub mod hash;
 pub mod id;
 pub mod instance;
 pub mod invariant;
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -5,8 +5,8 @@
 
 use crate::config;
 use crate::engine::Place;
+use crate::hash::spread;
 use crate::id;
-use crate::queue::spread;
 use crate::timeline::Stamp;
 
 /// How often an instance tells its zone how it is while requests wait.
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -5,11 +5,8 @@
 //! request stands in the way of the others.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::hash::{Hash, Hasher};
 use std::time::Instant;
 
-use siphasher::sip::SipHasher13;
-
 use crate::id;
 use crate::request::Request;
 use crate::unit::Tokens;
@@ -44,18 +41,6 @@
 /// How many flows in which nothing waits are remembered for each tier.
 const MAX_IDLE_FLOWS: usize = 1_024;
 
-/// Spreads a text evenly over the numbers, the same way on every instance.
-///
-/// ```
-/// use rosemarypond_core::queue::spread;
-/// assert_eq!(spread("e1"), spread("e1"));
-/// ```
-pub fn spread(text: impl Hash) -> u64 {
-    let mut hasher = SipHasher13::new();
-    text.hash(&mut hasher);
-    hasher.finish()
-}
-
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 struct Flow {
     team: id::Team,
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -46,12 +46,7 @@
 ///
 /// Where there is no answer, or it is a refusal.
 pub fn ask(to: &str, path: &str, credential: &str, sentence: &str) -> Result<Value, Error> {
-    let config = ureq::Agent::config_builder()
-        .timeout_global(Some(TIMEOUT))
-        .http_status_as_error(false)
-        .max_redirects(0)
-        .proxy(None);
-    let agent: ureq::Agent = config.build().into();
+    let agent = rosemarypond::agent::agent(TIMEOUT);
     let request = agent.post(format!("http://{to}{path}"));
     let request = request.header("Authorization", format!("Bearer {credential}"));
     let lost = |e: ureq::Error| Error::Connection(e.to_string());
--- a/crates/daemon/examples/fleet.rs
+++ b/crates/daemon/examples/fleet.rs
@@ -4,87 +4,43 @@
 //! The daemons run as processes of their own: build them first with
 //! `cargo build --release`.
 
-use std::io::{BufRead, BufReader};
+mod support;
+
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use clap::{Arg, value_parser};
-use eyre::{Context, eyre};
 use rosemarypond::platform::Client;
 use rosemarypond_core::config::{Document, Kind, Team, Tier, Upstream, Version, digest};
 use rosemarypond_standin::platform::Platform;
+use support::Daemon;
 
 const SETTLE: Duration = Duration::from_secs(12);
 const WATCH: Duration = Duration::from_secs(20);
 const CHANGES: usize = 3;
 const ZONES: usize = 13;
 const SERVICES: usize = 3;
-/// Clock ticks a second in `/proc/*/stat`.
-const TICKS_PER_S: f64 = 100.0;
-
-struct Daemon {
-    child: Child,
-    http: SocketAddr,
-    settings: PathBuf,
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
 
-fn start(folder: &Path, place: usize, zone: &str, platform: SocketAddr) -> eyre::Result<Daemon> {
-    let settings = std::env::temp_dir()
-        .join(format!("rosemarypond-fleet-{}-{place}.json", std::process::id()));
-    let text = serde_json::json!({
+fn start(place: usize, zone: &str, platform: SocketAddr) -> eyre::Result<Daemon> {
+    Daemon::start(&serde_json::json!({
         "instance": format!("{zone}-{place}"), "zone": zone, "http": "127.0.0.1:0",
         "peer": "127.0.0.1:0", "platform": platform,
-    });
-    std::fs::write(&settings, text.to_string())?;
-    let mut child = Command::new(folder.join("rosemarypond"))
-        .arg(&settings)
-        .stdout(Stdio::piped())
-        .stderr(Stdio::null())
-        .spawn()
-        .wrap_err("A daemon cannot be started; run cargo build --release first")?;
-    let output = child.stdout.take().ok_or_else(|| eyre!("No output."))?;
-    let mut line = String::new();
-    BufReader::new(output).read_line(&mut line)?;
-    let address = line.split(' ').nth(1).ok_or_else(|| eyre!("No address in '{line}'."))?;
-    Ok(Daemon { child, http: address.parse()?, settings })
+    }))
 }
 
-impl Daemon {
-    fn cpu_seconds(&self) -> f64 {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
-        let stat = stat.unwrap_or_default();
-        let fields: Vec<_> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
-        let ticks = |place: usize| fields.get(place).and_then(|f| f.parse::<f64>().ok());
-        (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / TICKS_PER_S
-    }
-
-    fn resident_kib(&self) -> f64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmRSS"));
-        let field = line.and_then(|l| l.split_whitespace().nth(1));
-        field.and_then(|f| f.parse().ok()).unwrap_or(0.0)
-    }
+fn resident_kib(daemon: &Daemon) -> f64 {
+    let field = daemon.status("VmRSS");
+    field.split(' ').next().and_then(|f| f.parse().ok()).unwrap_or(0.0)
+}
 
-    fn metric(&self, name: &str) -> f64 {
-        let call = ureq::get(format!("http://{}/metrics", self.http)).call();
-        let text = call.ok().and_then(|mut r| r.body_mut().read_to_string().ok());
-        let text = text.unwrap_or_default();
-        let line = text.lines().find(|line| line.starts_with(&format!("rosemarypond_{name} ")));
-        let field = line.and_then(|l| l.split(' ').nth(1));
-        field.and_then(|f| f.parse().ok()).unwrap_or(0.0)
-    }
+fn metric(daemon: &Daemon, name: &str) -> f64 {
+    let call = ureq::get(format!("http://{}/metrics", daemon.http)).call();
+    let text = call.ok().and_then(|mut r| r.body_mut().read_to_string().ok());
+    let text = text.unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with(&format!("rosemarypond_{name} ")));
+    let field = line.and_then(|l| l.split(' ').nth(1));
+    field.and_then(|f| f.parse().ok()).unwrap_or(0.0)
 }
 
 fn document(teams: usize, upstreams: usize) -> eyre::Result<Document> {
@@ -118,7 +74,7 @@
 fn wait_for(daemons: &[Daemon], version: Version) -> Duration {
     let begin = Instant::now();
     for daemon in daemons {
-        while daemon.metric("config_version") < version.0 as f64 {
+        while metric(daemon, "config_version") < version.0 as f64 {
             thread::sleep(Duration::from_millis(20));
         }
     }
@@ -145,17 +101,15 @@
     let client = Client::new(platform.address);
     let mut document = document(get("teams"), get("upstreams"))?;
     let mut version = client.put_config(Version(0), &document, "fleet")?;
-    let own = std::env::current_exe()?;
-    let folder = own.parent().and_then(|p| p.parent()).ok_or_else(|| eyre!("No folder."))?;
     let zones = (0..get("daemons")).map(|_| 0).chain(1..=get("far"));
     let daemons: Vec<_> = zones
         .enumerate()
-        .map(|(place, zone)| start(folder, place, &format!("zone-{zone}"), platform.address))
+        .map(|(place, zone)| start(place, &format!("zone-{zone}"), platform.address))
         .collect::<eyre::Result<_>>()?;
     wait_for(&daemons, version);
     thread::sleep(SETTLE);
     let near = &daemons[..get("daemons")];
-    let sums = |name: &str| mean(near, |d| d.metric(name));
+    let sums = |name: &str| mean(near, |d| metric(d, name));
     let names = ["peer_sent_bytes_total", "peer_received_bytes_total", "peer_sent_frames_total"];
     let (before, cpu) = (names.map(sums), mean(near, Daemon::cpu_seconds));
     let traffic = platform.traffic();
@@ -176,7 +130,7 @@
         rate(2),
         rate(1),
         (cpu_after - cpu) / seconds * 100.0,
-        mean(near, Daemon::resident_kib) / 1024.0,
+        mean(near, resident_kib) / 1024.0,
         reads / daemons.len() as f64,
     );
     for turn in 0..CHANGES {
--- a/crates/daemon/examples/overhead.rs
+++ b/crates/daemon/examples/overhead.rs
@@ -4,20 +4,21 @@
 //! The daemon runs as a process of its own: build it first with
 //! `cargo build --release`.
 
+mod support;
+
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use eyre::{Context, eyre};
+use eyre::eyre;
 use hdrhistogram::Histogram;
 use rosemarypond_core::config::digest;
 use rosemarypond_standin::engine::{Behaviour, Engine};
 use rosemarypond_standin::platform::Platform;
 use serde_json::json;
+use support::Daemon;
 
 const TEAM: &str = "studio-secret";
 const TOKENS: u64 = 50;
@@ -26,8 +27,6 @@
 const STREAMS: [usize; 4] = [1, 16, 128, 700];
 const ROUNDS: usize = 3;
 const IDLE: Duration = Duration::from_secs(10);
-/// Clock ticks a second in `/proc/*/stat`.
-const TICKS_PER_S: f64 = 100.0;
 
 struct Times {
     first_us: Histogram<u64>,
@@ -102,58 +101,6 @@
     (times, tokens / seconds)
 }
 
-struct Daemon {
-    child: Child,
-    http: SocketAddr,
-}
-
-impl Daemon {
-    fn start(platform: SocketAddr) -> eyre::Result<Self> {
-        let own = std::env::current_exe()?;
-        let folder = own.parent().and_then(|p| p.parent()).ok_or_else(|| eyre!("No folder."))?;
-        let settings: PathBuf =
-            std::env::temp_dir().join(format!("rosemarypond-overhead-{}.json", std::process::id()));
-        let text = json!({
-            "instance": "a1", "zone": "cascadia-a", "http": "127.0.0.1:0",
-            "peer": "127.0.0.1:0", "platform": platform, "max_requests": 4_096,
-        });
-        std::fs::write(&settings, text.to_string())?;
-        let mut child = Command::new(folder.join("rosemarypond"))
-            .arg(&settings)
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .wrap_err("The daemon cannot be started; run cargo build --release first")?;
-        let output = child.stdout.take().ok_or_else(|| eyre!("No output."))?;
-        let mut line = String::new();
-        BufReader::new(output).read_line(&mut line)?;
-        let address = line.split(' ').nth(1).ok_or_else(|| eyre!("No address in '{line}'."))?;
-        Ok(Self { child, http: address.parse()? })
-    }
-
-    fn cpu_seconds(&self) -> f64 {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
-        let stat = stat.unwrap_or_default();
-        let fields: Vec<_> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
-        let ticks = |place: usize| fields.get(place).and_then(|f| f.parse::<f64>().ok());
-        (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / TICKS_PER_S
-    }
-
-    fn status(&self, key: &str) -> String {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with(key));
-        line.and_then(|l| l.split(':').nth(1)).unwrap_or("?").trim().to_owned()
-    }
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 fn document(engines: &[SocketAddr]) -> serde_json::Value {
     let upstream = |(place, address): (usize, &SocketAddr)| {
         json!({ "id": format!("e{place}"), "service": "draft-models", "zone": "cascadia-a",
@@ -177,7 +124,10 @@
     put("config/part", document(&engines))?;
     put("config/index", json!(["config/part"]))?;
     put("config/head", json!({ "index": "config/index", "operator": "overhead" }))?;
-    let daemon = Daemon::start(platform.address)?;
+    let daemon = Daemon::start(&json!({
+        "instance": "a1", "zone": "cascadia-a", "http": "127.0.0.1:0",
+        "peer": "127.0.0.1:0", "platform": platform.address, "max_requests": 4_096,
+    }))?;
     while ureq::get(format!("http://{}/readyz", daemon.http)).call().is_err() {
         thread::sleep(Duration::from_millis(50));
     }
--- a/crates/daemon/src/gateway/intake.rs
+++ b/crates/daemon/src/gateway/intake.rs
@@ -5,8 +5,8 @@
 
 use rosemarypond_core::config::{Document, Kind, Rule, Team, fingerprint};
 use rosemarypond_core::engine::BLOCK_TOKENS;
+use rosemarypond_core::hash::spread;
 use rosemarypond_core::id;
-use rosemarypond_core::queue::spread;
 use rosemarypond_core::request::{Key, Repeat, Request};
 use rosemarypond_core::unit::Tokens;
 use serde_json::Value;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry daemon: input and output around the decisions of
 //! `rosemarypond-core`.
 
+pub mod agent;
 pub mod cli;
 pub mod daemon;
 pub mod gateway;
--- a/crates/daemon/src/operate/mod.rs
+++ b/crates/daemon/src/operate/mod.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 use tiny_http::Request;
 
+use crate::agent::agent;
 use crate::gateway::{credential, reply};
 use crate::metrics::{self, Snapshot};
 use crate::peer::Traffic;
@@ -69,12 +70,7 @@
         listed: Arc<Mutex<Vec<Listed>>>,
         traffic: Arc<Traffic>,
     ) -> Self {
-        let config = ureq::Agent::config_builder()
-            .timeout_global(Some(PEER_TIMEOUT))
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .proxy(None);
-        Self { handle, platform, own, listed, traffic, agent: config.build().into() }
+        Self { handle, platform, own, listed, traffic, agent: agent(PEER_TIMEOUT) }
     }
 
     /// The metrics as text.
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use crate::agent::agent;
 use crate::upstream::Answer;
 
 /// How long an answer of the platform is waited for.
@@ -88,13 +89,7 @@
     /// # Ok::<(), std::net::AddrParseError>(())
     /// ```
     pub fn new(address: SocketAddr) -> Self {
-        let config = ureq::Agent::config_builder()
-            .timeout_global(Some(TIMEOUT))
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .proxy(None)
-            .build();
-        Self { agent: config.into(), address, parts: Arc::default() }
+        Self { agent: agent(TIMEOUT), address, parts: Arc::default() }
     }
 
     /// Reads a row.
--- a/crates/daemon/src/platform/parts.rs
+++ b/crates/daemon/src/platform/parts.rs
@@ -2,7 +2,7 @@
 //! small row, and instances read only the rows that they do not know.
 
 use rosemarypond_core::config::{Document, digest};
-use rosemarypond_core::queue::spread;
+use rosemarypond_core::hash::spread;
 use serde_json::{Value, json};
 
 /// About how many teams share a row.
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -92,16 +92,12 @@
 impl Default for Agents {
     fn default() -> Self {
         let build = |idle| {
-            let config = ureq::Agent::config_builder()
+            let config = crate::agent::config()
                 .timeout_connect(Some(CONNECT_TIMEOUT))
                 .input_buffer_size(BUFFER_BYTES)
                 .output_buffer_size(BUFFER_BYTES)
                 .max_idle_connections(idle)
-                .max_idle_connections_per_host(idle)
-                .http_status_as_error(false)
-                .max_redirects(0)
-                .max_redirects_will_error(false)
-                .proxy(None);
+                .max_idle_connections_per_host(idle);
             config.build().into()
         };
         Self { pooled: build(16), fresh: build(0) }
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -9,6 +9,7 @@
 use rosemarypond_core::id;
 use serde_json::Value;
 
+use crate::agent::agent;
 use crate::runtime::Handle;
 
 /// The pause between two rounds of reading.
@@ -22,12 +23,7 @@
 ///
 /// Where the system gives no thread.
 pub fn start(handle: Handle) -> std::io::Result<()> {
-    let config = ureq::Agent::config_builder()
-        .timeout_global(Some(TIMEOUT))
-        .http_status_as_error(false)
-        .max_redirects(0)
-        .proxy(None);
-    let agent = config.build().into();
+    let agent = agent(TIMEOUT);
     thread::Builder::new().name("watch".into()).spawn(move || {
         let mut leaving = BTreeSet::new();
         while let Some(watched) = watched(&handle) {
