Refuse truthfully what arrives when a drain is over

A request that came between the end of the decisions and the end of the process was told that the platform is down and that its outcome is unknown. It is told that the instance drains, and without a key that it did not run; so is a request without a key at an instance that has no configuration yet. One function refuses whatever was not read.

--- a/crates/core/examples/support/world/mod.rs
+++ b/crates/core/examples/support/world/mod.rs
@@ -18,7 +18,6 @@
 use rosemarypond_core::event::{Action, Event};
 use rosemarypond_core::id;
 use rosemarypond_core::instance::{Identity, Instance, Options, TICK_INTERVAL};
-use rosemarypond_core::outcome::{Outcome, Reason};
 use rosemarypond_core::request::Request;
 use stakker::Stakker;
 
@@ -421,15 +420,6 @@
         }
     }
 
-    /// Whether a refusal says that the request did not run.
-    pub fn is_not_run(verdict: Verdict) -> bool {
-        matches!(verdict, Verdict::Refuse(Outcome::NotRun, _))
-    }
-
-    pub fn is_reason(verdict: Verdict, wanted: Reason) -> bool {
-        matches!(verdict, Verdict::Refuse(_, reason) if reason == wanted)
-    }
-
     pub fn put_config(&mut self, document: Document) {
         let version = self.table.config.as_ref().map(|(v, _)| *v).unwrap_or_default();
         let version = config::Version(version.0 + 1);
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -1,11 +1,12 @@
 //! One request from its arrival to its final answer.
 
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rosemarypond_core::claim::{Ended, Verdict};
-use rosemarypond_core::config::{Document, Kind};
+use rosemarypond_core::config::{Document, Kind, Version};
 use rosemarypond_core::event::Event;
 use rosemarypond_core::id;
 use rosemarypond_core::outcome::{Outcome, Reason};
@@ -14,7 +15,7 @@
 
 use super::intake::{self, Intake};
 use super::stream::Stream;
-use super::{Gateway, Note, Problem, header, reply};
+use super::{Gateway, Note, Problem, header, refuse_unread, reply};
 use crate::upstream::{Answer, Call, Piece, Target};
 
 /// A stream that has begun and is silent for this long is resumed.
@@ -30,9 +31,12 @@
 
 /// Serves a request that a rule covers.
 pub fn serve(gateway: &Gateway, mut http: tiny_http::Request) {
-    let Some(document) = document(gateway) else {
-        not_ready().send(http);
-        return;
+    let document = match document(gateway) {
+        Ok(document) => document,
+        Err(reason) => {
+            refuse_unread(http, reason);
+            return;
+        }
     };
     let id = gateway.next_id();
     match intake::read(&mut http, id, &document, gateway.settings.max_body.0) {
@@ -44,17 +48,18 @@
     }
 }
 
-fn document(gateway: &Gateway) -> Option<std::sync::Arc<Document>> {
+/// The configuration in force, or why there is none to go by.
+fn document(gateway: &Gateway) -> Result<Arc<Document>, Reason> {
     let config = gateway.handle.ask(|instance, _| {
         let (version, document) = instance.config();
-        (version, std::sync::Arc::clone(document))
+        (version, Arc::clone(document))
     });
-    config.filter(|(version, _)| version.0 > 0).map(|(_, document)| document)
-}
-
-fn not_ready() -> Problem {
-    let after = Duration::from_secs(2);
-    Problem::refused(None, Outcome::Unknown, Reason::PlatformDown, after)
+    match config {
+        Some((version, document)) if version > Version::default() => Ok(document),
+        Some(_) => Err(Reason::PlatformDown),
+        // The decisions end when a drain is over.
+        None => Err(Reason::Draining),
+    }
 }
 
 fn run(gateway: &Gateway, http: tiny_http::Request, intake: Intake, document: &Document) {
@@ -318,9 +323,12 @@
 
 /// Gives a caller the rest of a stream that another instance began.
 pub fn resume(gateway: &Gateway, http: tiny_http::Request) {
-    let Some(document) = document(gateway) else {
-        not_ready().send(http);
-        return;
+    let document = match document(gateway) {
+        Ok(document) => document,
+        Err(reason) => {
+            refuse_unread(http, reason);
+            return;
+        }
     };
     let (grant, from, address) = match granted(&http, &document) {
         Ok(granted) => granted,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -33,6 +33,8 @@
 /// The longest path and query that are accepted, in bytes.
 pub const MAX_URL_BYTES: usize = 8 * 1024;
 
+/// When a caller may come back whose request was not read.
+const UNREAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 const STACK_BYTES: usize = 256 * 1024;
 
 /// What becomes of a request, told to the thread that holds its caller.
@@ -117,7 +119,7 @@
         let held = self.active.fetch_add(1, Ordering::Relaxed);
         if held >= self.settings.max_requests as usize {
             self.active.fetch_sub(1, Ordering::Relaxed);
-            too_many(request);
+            refuse_unread(request, Reason::Overload);
             return;
         }
         let gateway = Arc::clone(self);
@@ -162,10 +164,12 @@
     socket.set_tcp_nodelay(true)
 }
 
-fn too_many(request: Request) {
-    let keyed = request.headers().iter().any(|h| h.field.equiv("Idempotency-Key"));
+/// Refuses a request before it was read. Without a key this one try is all
+/// there is, so it did not run; with one, another try may have.
+pub(crate) fn refuse_unread(request: Request, reason: Reason) {
+    let keyed = header(&request, "Idempotency-Key").is_some();
     let outcome = if keyed { Outcome::Unknown } else { Outcome::NotRun };
-    Problem::refused(None, outcome, Reason::Overload, Duration::from_secs(1)).send(request);
+    Problem::refused(None, outcome, reason, UNREAD_RETRY_AFTER).send(request);
 }
 
 /// Answers with a whole body.
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -185,6 +185,8 @@
     assert!(!site.daemons[0].is_ready());
     let refused = site.order(0, "early").expect("an answer");
     assert_eq!((refused.status, refused.outcome().as_str()), (503, "unknown"));
+    let plain = complete(to, TEAM, &prompt("In memory", 4, true)).expect("an answer");
+    assert_eq!((plain.status, plain.outcome().as_str()), (503, "not-run"));
     site.platform.signal("CONT");
     site.wait_until("it is ready", |site| site.daemons[0].is_ready());
 }
