--- a/crates/core/examples/load/report.rs
+++ b/crates/core/examples/load/report.rs
@@ -120,6 +120,7 @@
     json!({
         "name": name,
         "tiers": (0..DEADLINES_S.len() as u8).map(tier).collect::<Vec<_>>(),
+        "tries": tally.tries,
         "prefill_tokens": tally.prefill,
         "wasted_prefill_tokens": tally.wasted(),
         "cut_prefill_tokens": tally.cut_prefill,
--- a/crates/core/examples/load/scenario.rs
+++ b/crates/core/examples/load/scenario.rs
@@ -8,10 +8,10 @@
 use stakker::Stakker;
 
 use crate::support::tally::Tally;
-use crate::support::world::{self, Policy, What, World};
+use crate::support::world::{self, AGAIN, Policy, What, World};
 use crate::workload::{Mix, Site};
 
-pub const NAMES: [&str; 7] = [
+pub const NAMES: [&str; 8] = [
     "steady",
     "burst",
     "slow-engine",
@@ -19,6 +19,7 @@
     "zone-cut",
     "long-and-short",
     "prefix-heavy",
+    "retries",
 ];
 
 /// What is run.
@@ -37,6 +38,8 @@
 /// A burst is this much of the load, for a sixth of the time.
 const BURST: f64 = 3.0;
 const SLOWDOWN: f64 = 6.0;
+/// How often a refused caller comes back, when it is told to.
+const MAX_RETRIES: u8 = 3;
 
 impl Plan {
     pub fn mix(&self) -> Mix {
@@ -67,6 +70,9 @@
             world.add_node(&format!("{zone}-{place}"), zone);
         }
     }
+    if plan.name == "retries" {
+        world.max_retries = MAX_RETRIES;
+    }
     let length = Duration::from_secs(plan.seconds);
     let rate = plan.capacity() * plan.load;
     let (name, mix, service) = (plan.name.clone(), plan.mix(), site.service.clone());
@@ -82,6 +88,10 @@
             world.after(Duration::from_secs_f64(wait), What::Own(ARRIVAL));
         }
         FAULT => fault(world, &name),
+        number if number >= AGAIN => {
+            let node = ready_node(world);
+            world.come_back(node, number);
+        }
         _ => repair(world, &name),
     });
     world.after(Duration::from_secs(1), What::Own(ARRIVAL));
@@ -101,12 +111,16 @@
     let id = world.next_id();
     let now = world.now;
     let (request, tokens) = mix.draw(&mut world.load_rng, id, service, now);
-    // The balancer sends requests to instances that are ready only.
-    let ready: Vec<_> = (0..world.nodes.len()).filter(|n| world.is_ready(*n)).collect();
-    let node = ready[world.load_rng.random_range(0..ready.len())];
+    let node = ready_node(world);
     world.arrive(node, request, tokens);
 }
 
+/// The balancer sends requests to instances that are ready only.
+fn ready_node(world: &mut World) -> usize {
+    let ready: Vec<_> = (0..world.nodes.len()).filter(|n| world.is_ready(*n)).collect();
+    ready[world.load_rng.random_range(0..ready.len())]
+}
+
 fn fault(world: &mut World, name: &str) {
     let first = world.engines.keys().next().cloned();
     match (name, first) {
--- a/crates/core/examples/support/tally.rs
+++ b/crates/core/examples/support/tally.rs
@@ -11,6 +11,8 @@
 
 #[derive(Debug)]
 pub struct Tally {
+    /// Tries of the offered requests, first ones and later ones.
+    pub tries: u64,
     pub offered: BTreeMap<u8, u64>,
     pub good: BTreeMap<u8, u64>,
     pub refused: BTreeMap<u8, u64>,
@@ -27,6 +29,7 @@
         let histogram =
             || Histogram::new_with_bounds(1, MAX_TIME_US, 3).expect("the bounds are in order");
         Self {
+            tries: 0,
             offered: BTreeMap::new(),
             good: BTreeMap::new(),
             refused: BTreeMap::new(),
--- a/crates/core/examples/support/world/jobs.rs
+++ b/crates/core/examples/support/world/jobs.rs
@@ -9,12 +9,12 @@
 use rosemarypond_core::request::Repeat;
 use rosemarypond_core::unit::Tokens;
 
-use super::{CALL_GRACE, Policy, What, World};
+use super::{AGAIN, Again, CALL_GRACE, Policy, What, World};
 use crate::support::engine::{Job, Started};
 
 impl World {
     /// The final answer of a request.
-    pub fn answer(&mut self, request: id::Request, verdict: Verdict) {
+    pub fn answer(&mut self, request: id::Request, verdict: Verdict, retry_after: Duration) {
         self.told.push((request, verdict));
         let now = self.now;
         let Some(caller) = self.callers.get_mut(&request) else { return };
@@ -33,6 +33,19 @@
             }
             Verdict::Deliver | Verdict::Replay => {}
         }
+        if matches!(verdict, Verdict::Refuse(..)) {
+            self.send_again(request, retry_after);
+        }
+    }
+
+    /// Lets a refused caller come back when it was told to.
+    fn send_again(&mut self, request: id::Request, retry_after: Duration) {
+        let caller = &self.callers[&request];
+        let Some(tries_left) = caller.tries_left.checked_sub(1) else { return };
+        let (request, tokens) = (caller.request.clone(), caller.tokens);
+        self.again.push(Again { request, tokens, tries_left });
+        let number = AGAIN + self.again.len() as u64 - 1;
+        self.after(retry_after, What::Own(number));
     }
 
     pub(super) fn reach(
@@ -154,7 +167,7 @@
     ) {
         if self.policy == Policy::Oracle {
             if how == Ended::Whole {
-                self.answer(request, Verdict::Deliver);
+                self.answer(request, Verdict::Deliver, Duration::ZERO);
             }
             return;
         }
--- a/crates/core/examples/support/world/mod.rs
+++ b/crates/core/examples/support/world/mod.rs
@@ -132,12 +132,23 @@
 /// How long past its deadline a call may run.
 const CALL_GRACE: Duration = Duration::from_secs(5);
 
+/// The numbers of [`What::Own`] from which callers come back.
+pub const AGAIN: u64 = 1 << 32;
+
+/// A refused request whose caller comes back.
+pub struct Again {
+    pub request: Request,
+    pub tokens: u32,
+    pub tries_left: u8,
+}
+
 pub struct Caller {
     pub request: Request,
     pub node: usize,
     pub life: u64,
     pub tokens: u32,
     pub first: bool,
+    pub tries_left: u8,
     pub answered: Option<Verdict>,
     pub upstream: Option<id::Upstream>,
 }
@@ -177,6 +188,9 @@
     pub run_log: HashMap<id::Request, u32>,
     pub told: Vec<(id::Request, Verdict)>,
     pub started_at: Vec<(Instant, id::Upstream)>,
+    /// How often a refused caller comes back.
+    pub max_retries: u8,
+    again: Vec<Again>,
     outbox: Vec<(Duration, What)>,
     next_job: u64,
     next_request: u64,
@@ -212,6 +226,8 @@
             run_log: HashMap::new(),
             told: Vec::new(),
             started_at: Vec::new(),
+            max_retries: 0,
+            again: Vec::new(),
             outbox: Vec::new(),
             next_job: 0,
             next_request: 1,
@@ -327,15 +343,33 @@
 
     /// Hands a request to an instance; its caller waits until the deadline.
     pub fn arrive(&mut self, place: usize, request: Request, tokens: u32) {
+        *self.tally.offered.entry(request.rank).or_default() += 1;
+        self.try_at(place, request, tokens, self.max_retries);
+    }
+
+    /// Lets a refused caller come back with a try of its own.
+    pub fn come_back(&mut self, place: usize, number: u64) {
+        let again = &self.again[(number - AGAIN) as usize];
+        let (tokens, tries_left) = (again.tokens, again.tries_left);
+        let mut request = again.request.clone();
+        let whole = request.deadline.duration_since(request.arrived);
+        request.id = self.next_id();
+        request.arrived = self.now;
+        request.deadline = self.now + whole;
+        self.try_at(place, request, tokens, tries_left);
+    }
+
+    fn try_at(&mut self, place: usize, request: Request, tokens: u32, tries_left: u8) {
         let id = request.id;
         let wait = request.deadline.saturating_duration_since(self.now);
-        *self.tally.offered.entry(request.rank).or_default() += 1;
+        self.tally.tries += 1;
         let caller = Caller {
             request: request.clone(),
             node: place,
             life: self.nodes[place].life,
             tokens,
             first: false,
+            tries_left,
             answered: None,
             upstream: None,
         };
@@ -371,7 +405,9 @@
                 self.after(hop, What::Reach { node, life, request, upstream });
             }
             Action::Cancel { request } => self.after(hop, What::Stop { node, life, request }),
-            Action::Answer { request, verdict, .. } => self.answer(request, verdict),
+            Action::Answer { request, verdict, retry_after } => {
+                self.answer(request, verdict, retry_after);
+            }
             Action::Read { request, key } => self.read(node, life, request, &key),
             Action::Write { request, key, expected, record } => {
                 let write = LateWrite { key, expected, record, tell: true };
