Prove a stream's rest after its instance died, and a stale list

A caller whose instance is killed in mid-stream gets the rest through another zone's instance, 60 tokens in all. A dead instance that the platform lists on is no longer counted by its peer, and queries name it.

--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rosemarypond_core::claim::{Ended, Verdict};
 use rosemarypond_core::config::{Document, Kind, Version};
@@ -87,7 +87,6 @@
     events: usize,
     kept: Vec<u8>,
     whole: Option<Answer>,
-    last_moved: Instant,
     ended: bool,
 }
 
@@ -142,15 +141,8 @@
     fn dispatch(&mut self, target: Target) {
         let attempt = self.run.as_ref().map_or(0, |run| run.attempt + 1);
         self.gateway.agents.call(self.call.clone(), target.clone(), attempt, self.sender.clone());
-        self.run = Some(Run {
-            target,
-            attempt,
-            events: 0,
-            kept: Vec::new(),
-            whole: None,
-            last_moved: Instant::now(),
-            ended: false,
-        });
+        self.run =
+            Some(Run { target, attempt, events: 0, kept: Vec::new(), whole: None, ended: false });
     }
 
     fn piece(&mut self, attempt: u32, piece: Piece) {
@@ -159,7 +151,6 @@
         if attempt != run.attempt || run.ended {
             return;
         }
-        run.last_moved = Instant::now();
         match piece {
             Piece::Event(event) => self.event(&event),
             Piece::Whole(answer) => {
@@ -217,7 +208,6 @@
             return false;
         }
         run.attempt += 1;
-        run.last_moved = Instant::now();
         let (address, from, attempt) = (run.target.address, run.events, run.attempt);
         thread::sleep(RESUME_PAUSE);
         let (id, limit) = (self.call.id, self.call.limit);
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -229,6 +229,59 @@
     assert_eq!(resume(TEAM, &forged).status, 403);
 }
 
+/// Reads a stream until some events have come; gives all that was read.
+fn read_some(to: std::net::SocketAddr, body: &str, events: usize) -> String {
+    use std::io::{Read, Write};
+    let mut caller = std::net::TcpStream::connect(to).expect("a connection");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TEAM}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    caller.write_all(head.as_bytes()).expect("the request is taken");
+    caller.set_read_timeout(Some(support::PATIENCE)).expect("a timeout");
+    let mut text = String::new();
+    while text.matches("\n\n").count() < events {
+        let mut bytes = [0; 4_096];
+        let count = caller.read(&mut bytes).expect("the stream moves");
+        text.push_str(&String::from_utf8_lossy(&bytes[..count]));
+    }
+    text
+}
+
+fn stream_of_a_killed_instance() {
+    let mut site = Site::start(&["accra-a", "accra-b"]);
+    site.engine_behaviour(0, &json!({ "token_ms": 100 }));
+    let body = prompt("In memory of Efua", 60, true);
+    let begin = read_some(site.daemons[0].http, &body, 3);
+    site.daemons.remove(0);
+    let events = begin.matches("data: {").count();
+    let token = begin.lines().find_map(|line| line.strip_prefix("Rosemarypond-Resume: "));
+    let token = token.expect("a resume token").trim();
+    site.engine_behaviour(0, &json!({}));
+    let bearer = format!("Bearer {TEAM}");
+    let headers = [("Authorization", bearer.as_str()), ("Rosemarypond-Resume", token)];
+    let path = format!("/v1/resume?from={events}");
+    let rest = send("GET", site.daemons[0].http, &path, &headers, "").expect("an answer");
+    assert_eq!(events + rest.body.matches("data: {").count(), 60, "{}", rest.body);
+    assert!(rest.body.ends_with("data: [DONE]\n\n"), "{}", rest.body);
+}
+
+/// The platform lists a dead instance on; its peers hear that it is gone.
+fn dead_instance_still_listed() {
+    let mut site = Site::start(&["accra-a", "accra-a"]);
+    let members = |site: &Site| {
+        let sentence = "count members over instance";
+        site.operate(0, "/operator/query", sentence).json()["count"].clone()
+    };
+    site.wait_until("they hear each other", |site| members(site) == 1);
+    site.daemons.remove(1);
+    site.wait_until("the dead one is not counted", |site| members(site) == 0);
+    let all = site.operate(0, "/operator/query", "count config over all").json();
+    assert_eq!((&all["count"], &all["silent"]), (&json!(1), &json!(["i1"])));
+    assert_eq!(site.order(0, "alone").expect("an answer").status, 200);
+}
+
 fn two_operators() {
     let site = Site::start(&["accra-a", "accra-b"]);
     let set = |place, slots| {
@@ -353,6 +406,8 @@
     started_without_platform => new_instance_without_platform();
     stream_silent => silent_stream();
     stream_resumed_elsewhere => stream_through_another_instance();
+    stream_of_a_dead_instance => stream_of_a_killed_instance();
+    stale_list => dead_instance_still_listed();
     operators_in_conflict => two_operators();
     leaving_upstream => upstream_leaves();
     engine_leaves => engine_says_that_it_leaves();
