--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -100,8 +100,9 @@
     ///
     /// Where signals cannot be taken or an invariant was broken.
     pub fn run_until_drained(self) -> eyre::Result<()> {
-        println!("http {} peer {}", self.http, self.peer);
+        // Whoever reads the addresses may ask for a drain at once.
         let mut signals = Signals::new([SIGINT, SIGTERM]).wrap_err("Signals cannot be taken")?;
+        println!("http {} peer {}", self.http, self.peer);
         let (handle, logger) = (self.handle.clone(), self.logger.clone());
         thread::spawn(move || {
             for signal in signals.forever() {
