Ask what was learnt without copying it, and say test requests once

Each placement copied two maps to read one number; it borrows them now. The engine stand-in's count of dispatches was never read and is gone.

--- a/crates/core/src/instance/schedule.rs
+++ b/crates/core/src/instance/schedule.rs
@@ -146,12 +146,16 @@
     /// An answer length that most answers stay below.
     fn expected_answer(&self, request: &Request) -> Tokens {
         let size = Size::of(request.prompt);
-        let learnt = self.pace_of(request).long_answer(size);
+        let learnt = self.with_pace(request, |pace| pace.long_answer(size));
         request.max_answer.map_or(learnt, |most| most.min(learnt))
     }
 
-    fn pace_of(&self, request: &Request) -> Pace {
-        self.paces.get(&request.service).cloned().unwrap_or_default()
+    /// Asks what was learnt about a request's service, if only the defaults.
+    fn with_pace<T>(&self, request: &Request, look: impl FnOnce(&Pace) -> T) -> T {
+        match self.paces.get(&request.service) {
+            Some(pace) => look(pace),
+            None => look(&Pace::default()),
+        }
     }
 
     /// The open upstreams of the own zone, or of others where it has none.
@@ -177,7 +181,7 @@
 
     fn grant(&mut self, now: Instant, id: id::Request, upstream: id::Upstream) {
         let request = &self.held[&id].request;
-        let answer = self.pace_of(request).answer(Size::of(request.prompt));
+        let answer = self.with_pace(request, |pace| pace.answer(Size::of(request.prompt)));
         let cost = u64::from(request.prompt.0) + ANSWER_TOKEN_COST * u64::from(answer.0);
         let (service, rank) = (request.service.clone(), request.rank);
         self.paces.entry(service.clone()).or_default().started(rank);
--- a/crates/daemon/tests/borders.rs
+++ b/crates/daemon/tests/borders.rs
@@ -8,9 +8,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
 
-use support::{Site, TEAM, complete, get, prompt, send};
+use support::{Site, TEAM, complete, get, prompt, read_some, send};
 
 macro_rules! cases {
     ($($name:ident => $body:expr;)*) => {
@@ -134,20 +133,7 @@
     let site = Site::start(&["accra-a"]);
     site.engine_behaviour(0, &serde_json::json!({ "token_ms": 300 }));
     let body = prompt("In memory of Efua", 30, true);
-    let mut caller = TcpStream::connect(site.daemons[0].http).expect("a connection");
-    let head = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TEAM}\r\n\
-         Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    caller.write_all(head.as_bytes()).expect("the request is taken");
-    caller.set_read_timeout(Some(Duration::from_secs(60))).expect("a timeout");
-    let mut text = String::new();
-    while text.matches("data: {").count() < 2 {
-        let mut bytes = [0; 1_024];
-        let count = caller.read(&mut bytes).expect("the stream moves");
-        text.push_str(&String::from_utf8_lossy(&bytes[..count]));
-    }
+    let text = read_some(site.daemons[0].http, &body, 2);
     assert!(text.matches("data: {").count() < 10, "{text}");
 }
 
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use support::{Answer, OTHER_TEAM, Site, TEAM, complete, get, order_at, prompt, send};
+use support::{Answer, OTHER_TEAM, Site, TEAM, complete, get, order_at, prompt, read_some, send};
 
 macro_rules! cases {
     ($($name:ident => $body:expr;)*) => {
@@ -229,26 +229,6 @@
     assert_eq!(resume(TEAM, &forged).status, 403);
 }
 
-/// Reads a stream until some events have come; gives all that was read.
-fn read_some(to: std::net::SocketAddr, body: &str, events: usize) -> String {
-    use std::io::{Read, Write};
-    let mut caller = std::net::TcpStream::connect(to).expect("a connection");
-    let head = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TEAM}\r\n\
-         Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    caller.write_all(head.as_bytes()).expect("the request is taken");
-    caller.set_read_timeout(Some(support::PATIENCE)).expect("a timeout");
-    let mut text = String::new();
-    while text.matches("\n\n").count() < events {
-        let mut bytes = [0; 4_096];
-        let count = caller.read(&mut bytes).expect("the stream moves");
-        text.push_str(&String::from_utf8_lossy(&bytes[..count]));
-    }
-    text
-}
-
 fn stream_of_a_killed_instance() {
     let mut site = Site::start(&["accra-a", "accra-b"]);
     site.engine_behaviour(0, &json!({ "token_ms": 100 }));
@@ -369,18 +349,7 @@
     site.engine_behaviour(0, &json!({ "token_ms": 50 }));
     let to = site.daemons[0].http;
     let body = prompt("In memory of Efua", 400, true);
-    {
-        use std::io::{Read, Write};
-        let mut caller = std::net::TcpStream::connect(to).expect("a connection");
-        let head = format!(
-            "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TEAM}\r\n\
-             Content-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        caller.write_all(head.as_bytes()).expect("the request is taken");
-        let mut some = [0; 200];
-        caller.read_exact(&mut some).expect("the stream begins");
-    }
+    read_some(to, &body, 2);
     site.wait_until("the engine's work is stopped", |site| {
         let load = get(site.engines[0].address(), "/load", None).expect("an answer").json();
         let held = site.operate(0, "/operator/query", "count requests over instance").json();
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -343,3 +343,24 @@
     let bearer = format!("Bearer {credential}");
     send("POST", to, "/v1/chat/completions", &[("Authorization", bearer.as_str())], body)
 }
+
+/// Reads a stream until some events have come and leaves; gives all that was
+/// read.
+pub fn read_some(to: SocketAddr, body: &str, events: usize) -> String {
+    use std::io::Read;
+    let mut caller = std::net::TcpStream::connect(to).expect("a connection");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TEAM}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    caller.write_all(head.as_bytes()).expect("the request is taken");
+    caller.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    let mut text = String::new();
+    while text.matches("\n\n").count() < events {
+        let mut bytes = [0; 4_096];
+        let count = caller.read(&mut bytes).expect("the stream moves");
+        text.push_str(&String::from_utf8_lossy(&bytes[..count]));
+    }
+    text
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -77,7 +77,6 @@
     cached: VecDeque<u64>,
     events: Vec<Value>,
     event_count: u64,
-    dispatched: HashMap<String, u32>,
     fence: u64,
 }
 
@@ -118,12 +117,6 @@
     pub fn running(&self) -> usize {
         self.state.lock().expect("no holder panics").running
     }
-
-    /// The most times that one request was dispatched to it.
-    pub fn most_dispatches(&self) -> u32 {
-        let state = self.state.lock().expect("no holder panics");
-        state.dispatched.values().copied().max().unwrap_or(0)
-    }
 }
 
 fn handle(state: &Mutex<State>, request: Request) {
@@ -243,7 +236,6 @@
 
 fn admit(state: &Mutex<State>, prompt: &Prompt) {
     let mut locked = state.lock().expect("no holder panics");
-    *locked.dispatched.entry(prompt.id.clone()).or_default() += 1;
     let stream = Stream { words: prompt.words.clone(), cancelled: false };
     locked.streams.insert(prompt.id.clone(), stream);
     locked.order.push_back(prompt.id.clone());
