--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -23,22 +23,32 @@
 
 /// How often a connection's idle time is looked at.
 const IDLE_CHECK: Duration = Duration::from_secs(1);
-/// How long an idle connection stays open after the stop, so that a request
-/// that is on its way is still answered.
-const STOP_DELAY: Duration = Duration::from_millis(1_200);
 /// The pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// The least buffer for a request, which hyper requires.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
+/// How far a server is on its way to its end.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Phase {
+    /// It takes connections.
+    Serving,
+    /// It still takes connections, and closes each after its next answer.
+    Leaving,
+    /// It takes no connections, and closes each as soon as it is idle.
+    Closing,
+}
+
 /// What a server is made with.
 pub struct Options {
     /// The most connections at once.
     pub max_connections: usize,
     /// What callers may send.
     pub limits: Box<dyn Fn() -> Limits>,
-    /// Turns true when the instance stops.
-    pub stop: watch::Receiver<bool>,
+    /// How far the server is on its way to its end.
+    pub phase: watch::Receiver<Phase>,
+    /// How many connections are open.
+    pub open: Rc<Cell<usize>>,
 }
 
 /// When a connection was last at work.
@@ -73,24 +83,29 @@
     }
 }
 
-/// Serves connections until the thread ends.
+/// Serves connections until the server closes.
 pub async fn serve<F, S>(listener: TcpListener, options: Options, service: S)
 where
     F: Future<Output = Response<Reply>> + 'static,
     S: Fn(Request<Incoming>) -> F + Clone + 'static,
 {
     let options = Rc::new(options);
-    let open = Rc::new(Cell::new(0usize));
+    let mut phase = options.phase.clone();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = reached(&mut phase, Phase::Closing) => return,
+        };
+        let Ok((stream, _)) = accepted else {
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        let open = options.open.clone();
         if open.get() >= options.max_connections {
             continue;
         }
         open.set(open.get() + 1);
-        let (options, open, service) = (options.clone(), open.clone(), service.clone());
+        let (options, service) = (options.clone(), service.clone());
         spawn_local(async move {
             serve_connection(stream, &options, service).await;
             open.set(open.get() - 1);
@@ -108,16 +123,16 @@
     let limits = (options.limits)();
     let activity =
         Rc::new(Activity { requests: Cell::new(0), last: RefCell::new(clock::now()) });
-    let stop = options.stop.clone();
+    let phase = options.phase.clone();
     let serving = activity.clone();
     let service = service_fn(move |request| {
         let busy = Busy::new(serving.clone());
         let response = service(request);
-        let stop = stop.clone();
+        let phase = phase.clone();
         async move {
             let _busy = busy;
             let mut response = response.await;
-            if *stop.borrow() {
+            if *phase.borrow() >= Phase::Leaving {
                 let close = hyper::header::HeaderValue::from_static("close");
                 response.headers_mut().insert(hyper::header::CONNECTION, close);
             }
@@ -128,13 +143,13 @@
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let mut stop = options.stop.clone();
+    let mut phase = options.phase.clone();
     let mut is_closing = false;
     loop {
         tokio::select! {
             // An error concerns this connection only, which ends with it.
             _ = connection.as_mut() => return,
-            () = stopped(&mut stop), if !is_closing => {
+            () = reached(&mut phase, Phase::Closing), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
@@ -148,11 +163,10 @@
     }
 }
 
-/// Completes some time after the instance was told to stop.
-async fn stopped(stop: &mut watch::Receiver<bool>) {
-    // A sender that is gone stops nothing.
-    if stop.wait_for(|is_stopped| *is_stopped).await.is_err() {
+/// Completes when the server has come as far as a phase.
+async fn reached(phase: &mut watch::Receiver<Phase>, wanted: Phase) {
+    // A sender that is gone changes nothing any more.
+    if phase.wait_for(|phase| *phase >= wanted).await.is_err() {
         std::future::pending::<()>().await;
     }
-    sleep(STOP_DELAY).await;
 }
