--- a/crates/core/src/entry/quota.rs
+++ b/crates/core/src/entry/quota.rs
@@ -56,12 +56,12 @@
 
     /// Admits a request of `cost`, or says when it would be.
     ///
-    /// A request is admitted while anything is left, and the rest is owed, so
-    /// that one which costs more than the burst can run at all.
+    /// A request that costs more than the burst is admitted from a full bucket,
+    /// and the rest is owed, so that it can run at all.
     ///
     /// # Errors
     ///
-    /// The time until the bucket has something again, where it is empty.
+    /// The time until the bucket holds enough.
     pub fn admit(
         &mut self,
         team: &id::Team,
@@ -71,9 +71,10 @@
     ) -> Result<(), Duration> {
         let Some(bucket) = self.buckets.get_mut(team) else { return Ok(()) };
         bucket.fill(now, share);
-        if bucket.level <= 0.0 {
+        let needed = f64::from(cost.0).min(bucket.limit.burst);
+        if bucket.level < needed {
             let rate = (bucket.limit.rate * share).max(1.0);
-            return Err(Duration::from_secs_f64((1.0 - bucket.level) / rate));
+            return Err(Duration::from_secs_f64((needed - bucket.level) / rate));
         }
         bucket.level -= f64::from(cost.0);
         *self.admitted.entry(team.clone()).or_default() += u64::from(cost.0);
--- a/crates/core/src/entry/scheduler.rs
+++ b/crates/core/src/entry/scheduler.rs
@@ -283,8 +283,7 @@
         };
         let is_repeat = how != Ended::NotSent;
         let service = held.call.service.clone();
-        let is_allowed =
-            is_allowed && (!is_repeat || self.budget.take(&service, now, instances));
+        let is_allowed = is_allowed && (!is_repeat || self.budget.take(&service, now, instances));
         if is_allowed {
             self.enqueue(now, id);
         } else {
@@ -337,8 +336,7 @@
         held.upstream = Some(upstream.clone());
         self.fleet.sent(&upstream, &held.call, now);
         self.is_changed = true;
-        let action =
-            Action::Send { request: id, upstream: listed, sent_before, expected, running };
+        let action = Action::Send { request: id, upstream: listed, sent_before, expected, running };
         self.actions.push(action);
     }
 
@@ -371,8 +369,7 @@
             let latest = w.call.arrived + whole.mul_f64(MAX_WAIT_PART);
             now >= latest || w.call.left(now) < ANSWER_MARGIN
         };
-        let over: Vec<_> =
-            self.backlog.iter().filter(|w| is_over(w)).map(|w| w.call.id).collect();
+        let over: Vec<_> = self.backlog.iter().filter(|w| is_over(w)).map(|w| w.call.id).collect();
         for id in over {
             self.refuse(now, id, Reason::Deadline);
         }
@@ -454,8 +451,8 @@
 
     fn gossip(&mut self, now: Instant) {
         let since = self.last_gossip.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
-        let is_due = since >= MAX_GOSSIP_INTERVAL
-            || self.is_changed && since >= MIN_GOSSIP_INTERVAL;
+        let is_due =
+            since >= MAX_GOSSIP_INTERVAL || self.is_changed && since >= MIN_GOSSIP_INTERVAL;
         if !is_due {
             return;
         }
@@ -480,8 +477,7 @@
         for waiting in self.backlog.iter() {
             *counts.entry((waiting.call.service.clone(), waiting.call.rank)).or_default() += 1;
         }
-        let waiting =
-            |((service, rank), count)| gossip::Waiting { service, rank, count };
+        let waiting = |((service, rank), count)| gossip::Waiting { service, rank, count };
         counts.into_iter().map(waiting).collect()
     }
 }
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -119,7 +119,8 @@
             call_ms: f64::from(load.call_ms).max(0.0),
             seen: load.seen,
         };
-        let upstream = load.upstream.parse().ok().filter(|_| is_sound && load.call_ms.is_finite())?;
+        let upstream =
+            load.upstream.parse().ok().filter(|_| is_sound && load.call_ms.is_finite())?;
         Some(Load { upstream, running: load.running, prefill: Tokens(load.prefill), pace })
     };
     let waiting = |w: wire::Waiting| {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -132,7 +132,13 @@
             // An error shows at the request that it concerns.
             let _ = connection.await;
         });
-        Ok(Self { address, sender, written, is_kept: false, _driver: Driver(driver.abort_handle()) })
+        Ok(Self {
+            address,
+            sender,
+            written,
+            is_kept: false,
+            _driver: Driver(driver.abort_handle()),
+        })
     }
 
     /// Whether the connection carried a request before.
@@ -145,7 +151,10 @@
     /// # Errors
     ///
     /// Says whether the request may have reached the upstream.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failed> {
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Failed> {
         let before = self.written.get();
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -121,8 +121,7 @@
     // A connection that cannot be watched still carries requests.
     let _ = socket::watch(&stream);
     let limits = (options.limits)();
-    let activity =
-        Rc::new(Activity { requests: Cell::new(0), last: RefCell::new(clock::now()) });
+    let activity = Rc::new(Activity { requests: Cell::new(0), last: RefCell::new(clock::now()) });
     let phase = options.phase.clone();
     let serving = activity.clone();
     let service = service_fn(move |request| {
