--- a/crates/core/src/entry/quota.rs
+++ b/crates/core/src/entry/quota.rs
@@ -1,67 +1,115 @@
 //! What teams may use, over all instances together.
 //!
-//! Each instance keeps a token bucket a team for the whole system, from which
-//! it takes what it admits itself and what its peers say that they admitted.
-//! A peer that is silent may be cut off and go on admitting: its equal share
-//! of the rate is left to it, so that the sides of a partition together stay
-//! within the quota.
+//! A team may use its rate times the window in which it is counted, and its
+//! burst, in any such window. Each instance counts what it admits itself and
+//! what its peers say that they admitted. A peer that is silent may be cut off
+//! and go on admitting: its equal share is left to it, so that the sides of a
+//! partition together stay within the quota.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use super::plan::{Limit, Plan};
 use crate::id;
 use crate::unit::Tokens;
 
-#[derive(Clone, Copy, Debug)]
-struct Bucket {
+/// What is admitted within such a time is counted as admitted at once.
+const STEP: Duration = Duration::from_millis(100);
+
+/// What was admitted in the last window.
+#[derive(Clone, Debug)]
+struct Usage {
     limit: Limit,
-    level: f64,
-    filled: Instant,
+    steps: VecDeque<(Instant, f64)>,
+    sum: f64,
 }
 
-impl Bucket {
-    fn fill(&mut self, now: Instant, share: f64) {
-        let elapsed = now.saturating_duration_since(self.filled).as_secs_f64();
-        self.level = (self.level + elapsed * self.limit.rate * share).min(self.limit.burst);
-        self.filled = self.filled.max(now);
+impl Usage {
+    fn forget(&mut self, now: Instant, window: Duration) {
+        while let Some((at, cost)) = self.steps.front() {
+            if now.saturating_duration_since(*at) < window {
+                return;
+            }
+            self.sum = (self.sum - cost).max(0.0);
+            self.steps.pop_front();
+        }
+    }
+
+    fn add(&mut self, cost: f64, now: Instant) {
+        self.sum += cost;
+        match self.steps.back_mut() {
+            Some((at, step)) if now.saturating_duration_since(*at) < STEP => *step += cost,
+            _ => self.steps.push_back((now, cost)),
+        }
+    }
+
+    fn assume_rate(&mut self, now: Instant, window: Duration) {
+        let cost = self.limit.rate * STEP.as_secs_f64();
+        let mut age = window;
+        while age >= STEP {
+            if let Some(at) = now.checked_sub(age) {
+                self.steps.push_back((at, cost));
+                self.sum += cost;
+            }
+            age -= STEP;
+        }
+    }
+
+    /// When so much will have left the window.
+    fn time_until_free(&self, excess: f64, now: Instant, window: Duration) -> Duration {
+        let mut freed = 0.0;
+        for (at, cost) in &self.steps {
+            freed += cost;
+            if freed >= excess {
+                return (*at + window).saturating_duration_since(now);
+            }
+        }
+        window
     }
 }
 
-/// The buckets of all teams that have a quota.
-#[derive(Debug, Default)]
+/// What all teams that have a quota use.
+#[derive(Debug)]
 pub struct Quota {
-    buckets: HashMap<id::Team, Bucket>,
+    window: Duration,
+    usages: HashMap<id::Team, Usage>,
     admitted: HashMap<id::Team, u64>,
 }
 
 impl Quota {
+    /// Quotas that are counted over a window.
+    pub fn new(window: Duration) -> Self {
+        Self { window, usages: HashMap::new(), admitted: HashMap::new() }
+    }
+
     /// Takes over the limits of a plan; what was used stays used.
-    pub fn configure(&mut self, plan: &Plan, now: Instant) {
+    ///
+    /// An instance that joins a system at work knows nothing of the last
+    /// window: it takes it that each team used its whole rate.
+    pub fn configure(&mut self, plan: &Plan, joins: bool, now: Instant) {
         let limits: HashMap<_, _> =
             plan.teams().filter_map(|t| Some((t.id.clone(), t.quota?))).collect();
-        self.buckets.retain(|team, _| limits.contains_key(team));
+        self.usages.retain(|team, _| limits.contains_key(team));
         for (team, limit) in limits {
-            let bucket = self.buckets.entry(team).or_insert(Bucket {
-                limit,
-                level: limit.burst,
-                filled: now,
+            let usage = self.usages.entry(team).or_insert_with(|| {
+                let mut usage = Usage { limit, steps: VecDeque::new(), sum: 0.0 };
+                if joins {
+                    usage.assume_rate(now, self.window);
+                }
+                usage
             });
-            // A raised burst can be used at once, a lowered one binds at once.
-            bucket.level += (limit.burst - bucket.limit.burst).max(0.0);
-            bucket.level = bucket.level.min(limit.burst);
-            bucket.limit = limit;
+            usage.limit = limit;
         }
     }
 
     /// Admits a request of `cost`, or says when it would be.
     ///
-    /// A request that costs more than the burst is admitted from a full bucket,
-    /// and the rest is owed, so that it can run at all.
+    /// A request that costs more than a whole window allows is admitted where
+    /// nothing else was, so that it can run at all.
     ///
     /// # Errors
     ///
-    /// The time until the bucket holds enough.
+    /// The time until enough is free.
     pub fn admit(
         &mut self,
         team: &id::Team,
@@ -69,30 +117,36 @@
         now: Instant,
         share: f64,
     ) -> Result<(), Duration> {
-        let Some(bucket) = self.buckets.get_mut(team) else { return Ok(()) };
-        bucket.fill(now, share);
-        let needed = f64::from(cost.0).min(bucket.limit.burst);
-        if bucket.level < needed {
-            let rate = (bucket.limit.rate * share).max(1.0);
-            return Err(Duration::from_secs_f64((needed - bucket.level) / rate));
+        let Some(usage) = self.usages.get_mut(team) else { return Ok(()) };
+        usage.forget(now, self.window);
+        let most = (usage.limit.rate * self.window.as_secs_f64() + usage.limit.burst) * share;
+        let cost_now = f64::from(cost.0);
+        let excess = usage.sum + cost_now.min(most) - most;
+        if excess > 0.0 {
+            return Err(usage.time_until_free(excess, now, self.window));
         }
-        bucket.level -= f64::from(cost.0);
+        usage.add(cost_now, now);
         *self.admitted.entry(team.clone()).or_default() += u64::from(cost.0);
         Ok(())
     }
 
     /// Gives back the cost of a request that did not run.
     pub fn refund(&mut self, team: &id::Team, cost: Tokens) {
-        if let Some(bucket) = self.buckets.get_mut(team) {
-            bucket.level = (bucket.level + f64::from(cost.0)).min(bucket.limit.burst);
+        let Some(usage) = self.usages.get_mut(team) else { return };
+        let mut left = f64::from(cost.0);
+        for (_, step) in usage.steps.iter_mut().rev() {
+            let back = left.min(*step);
+            *step -= back;
+            usage.sum -= back;
+            left -= back;
         }
     }
 
-    /// Takes off what a peer admitted.
-    pub fn admitted_elsewhere(&mut self, team: &id::Team, cost: u64, now: Instant, share: f64) {
-        if let Some(bucket) = self.buckets.get_mut(team) {
-            bucket.fill(now, share);
-            bucket.level -= cost as f64;
+    /// Counts what a peer admitted.
+    pub fn admitted_elsewhere(&mut self, team: &id::Team, cost: u64, now: Instant) {
+        if let Some(usage) = self.usages.get_mut(team).filter(|_| cost > 0) {
+            usage.forget(now, self.window);
+            usage.add(cost as f64, now);
         }
     }
 
--- a/crates/core/src/entry/scheduler.rs
+++ b/crates/core/src/entry/scheduler.rs
@@ -46,6 +46,10 @@
     pub incarnation: id::Incarnation,
     /// The bound on repeats.
     pub allowance: Allowance,
+    /// The window in which quotas are counted.
+    pub quota_window: Duration,
+    /// Whether the system was at work before this instance started.
+    pub joins: bool,
 }
 
 /// Something that happened.
@@ -147,10 +151,10 @@
         Self {
             fleet: Fleet::new(options.place.clone()),
             budget: Budget::new(options.allowance),
+            quota: Quota::new(options.quota_window),
             options,
             plan: Arc::default(),
             backlog: Backlog::default(),
-            quota: Quota::default(),
             held: HashMap::new(),
             peers: BTreeMap::new(),
             sequence: 0,
@@ -199,7 +203,7 @@
 
     fn arrived(&mut self, now: Instant, call: Call) {
         if let Some(team) = &call.team {
-            let share = self.quota_share(now);
+            let share = self.quota_share();
             if let Err(wait) = self.quota.admit(team, call.cost, now, share) {
                 let retry_after = self.spread_retry(&call, wait, now);
                 self.refuse_with(call.id, Reason::Quota, retry_after);
@@ -267,7 +271,7 @@
 
     /// Sends a request elsewhere where that is allowed, or gives it up.
     fn go_on(&mut self, now: Instant, id: id::Request, how: Ended) {
-        let instances = self.instances(now);
+        let instances = self.instances();
         let Some(held) = self.held.get_mut(&id) else { return };
         let is_allowed = match how {
             Ended::NotSent => {
@@ -307,7 +311,7 @@
 
     fn configured(&mut self, now: Instant, plan: Arc<Plan>) {
         if plan.version > self.plan.version {
-            self.quota.configure(&plan, now);
+            self.quota.configure(&plan, self.options.joins, now);
             self.plan = plan;
         }
     }
@@ -379,7 +383,6 @@
         if gossip.from == self.options.place.instance {
             return;
         }
-        let share = self.quota_share(now);
         let known = self.peers.get(&gossip.from);
         let is_old = known
             .is_some_and(|p| p.incarnation == gossip.incarnation && p.sequence >= gossip.sequence);
@@ -392,7 +395,7 @@
             // What was admitted before a peer was first heard is long past.
             let Some(before) = before else { continue };
             let seen = before.admitted.get(team).copied().unwrap_or_default();
-            self.quota.admitted_elsewhere(team, total.saturating_sub(seen), now, share);
+            self.quota.admitted_elsewhere(team, total.saturating_sub(seen), now);
         }
         let peer = Peer {
             incarnation: gossip.incarnation,
@@ -429,16 +432,15 @@
     }
 
     /// The instances that may be at work, with this one.
-    fn instances(&self, now: Instant) -> usize {
-        let _ = now;
+    fn instances(&self) -> usize {
         self.peers.len() + 1
     }
 
     /// The part of each quota that this instance and the peers that it hears
     /// may use together.
-    fn quota_share(&self, now: Instant) -> f64 {
+    fn quota_share(&self) -> f64 {
         let quiet = self.peers.values().filter(|p| p.is_quiet).count();
-        let all = self.instances(now);
+        let all = self.instances();
         (all - quiet) as f64 / all as f64
     }
 
