Order work by its route within a tier, and bound what a team uses at once

Cause: all requests of a team have its tier, so quick questions went before long work by arrival; and waiting streams were held until their callers left (4 s) instead of being refused while they can come back.

--- a/crates/core/src/entry/backlog.rs
+++ b/crates/core/src/entry/backlog.rs
@@ -1,8 +1,9 @@
 //! The requests that wait for an upstream, in the order in which they go.
 //!
-//! Higher ranks go first. Within a rank, requests that can still meet their
-//! aim go before those that are late, which lose nothing more by waiting;
-//! either sort goes by what falls due first.
+//! Higher tiers go first, and within a tier the more urgent routes, so that a
+//! burst of quick questions does not hold up long work. Among equals, requests
+//! that can still meet their aim go before those that are late, which lose
+//! nothing more by waiting; either sort goes by what falls due first.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -56,11 +57,11 @@
         let key = |w: &Waiting| {
             let is_late = w.call.aim <= now;
             let due = if is_late { w.call.deadline } else { w.call.aim };
-            (w.call.rank, is_late, due, w.call.id)
+            (w.call.rank, w.call.urgency, is_late, due, w.call.id)
         };
         let mut ordered: Vec<_> = self.waiting.values().map(key).collect();
         ordered.sort_unstable();
-        ordered.into_iter().map(|(_, _, _, id)| id).collect()
+        ordered.into_iter().map(|(.., id)| id).collect()
     }
 
     /// A waiting request.
--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -38,8 +38,10 @@
     pub team: Option<id::Team>,
     /// The service that it asks for.
     pub service: id::Service,
-    /// Its rank; 0 is the highest.
+    /// The rank of its tier; 0 is the highest.
     pub rank: u8,
+    /// The rank of its route within the tier; 0 is the most urgent.
+    pub urgency: u8,
     /// Whether it may run again.
     pub repeat: Repeat,
     /// The most upstreams that it may be sent to.
@@ -48,6 +50,8 @@
     pub arrived: Instant,
     /// When its first byte or event is due for full worth.
     pub aim: Instant,
+    /// When its caller leaves if nothing has come by then.
+    pub first_due: Instant,
     /// When its caller, or the route, gives up.
     pub deadline: Instant,
     /// The length of its prompt.
--- a/crates/core/src/entry/plan.rs
+++ b/crates/core/src/entry/plan.rs
@@ -35,6 +35,8 @@
     pub timeout: Duration,
     /// The time to the first byte or event that earns full worth.
     pub aim: Duration,
+    /// The longest that callers wait for the first byte or event.
+    pub first_patience: Duration,
     /// The rank of its requests; 0 is the highest.
     pub rank: u8,
     /// The services that take its requests.
--- a/crates/core/src/entry/quota.rs
+++ b/crates/core/src/entry/quota.rs
@@ -1,7 +1,9 @@
 //! What teams may use, over all instances together.
 //!
 //! A team may use its rate times the window in which it is counted, and its
-//! burst, in any such window. Each instance counts what it admits itself and
+//! burst, in any such window; and of that only its burst and the rate of some
+//! seconds at once, so that little is lost to memory when all instances die
+//! together. Each instance counts what it admits itself and
 //! what its peers say that they admitted. A peer that is silent may be cut off
 //! and go on admitting: its equal share is left to it, so that the sides of a
 //! partition together stay within the quota.
@@ -16,15 +18,33 @@
 /// What is admitted within such a time is counted as admitted at once.
 const STEP: Duration = Duration::from_millis(100);
 
+/// How much of the rate a team may save up beside its burst.
+const SAVED: Duration = Duration::from_secs(2);
+
 /// What was admitted in the last window.
 #[derive(Clone, Debug)]
 struct Usage {
     limit: Limit,
     steps: VecDeque<(Instant, f64)>,
     sum: f64,
+    /// What may be used at once.
+    level: f64,
+    filled: Instant,
 }
 
 impl Usage {
+    fn new(limit: Limit, now: Instant) -> Self {
+        let level = capacity(limit);
+        Self { limit, steps: VecDeque::new(), sum: 0.0, level, filled: now }
+    }
+
+    fn fill(&mut self, now: Instant, share: f64) {
+        let elapsed = now.saturating_duration_since(self.filled).as_secs_f64();
+        let level = self.level + elapsed * self.limit.rate * share;
+        self.level = level.min(capacity(self.limit));
+        self.filled = self.filled.max(now);
+    }
+
     fn forget(&mut self, now: Instant, window: Duration) {
         while let Some((at, cost)) = self.steps.front() {
             if now.saturating_duration_since(*at) < window {
@@ -37,6 +57,7 @@
 
     fn add(&mut self, cost: f64, now: Instant) {
         self.sum += cost;
+        self.level -= cost;
         match self.steps.back_mut() {
             Some((at, step)) if now.saturating_duration_since(*at) < STEP => *step += cost,
             _ => self.steps.push_back((now, cost)),
@@ -45,6 +66,7 @@
 
     fn assume_rate(&mut self, now: Instant, window: Duration) {
         let cost = self.limit.rate * STEP.as_secs_f64();
+        self.level = self.limit.burst / 2.0;
         let mut age = window;
         while age >= STEP {
             if let Some(at) = now.checked_sub(age) {
@@ -68,6 +90,10 @@
     }
 }
 
+fn capacity(limit: Limit) -> f64 {
+    limit.burst + limit.rate * SAVED.as_secs_f64()
+}
+
 /// What all teams that have a quota use.
 #[derive(Debug)]
 pub struct Quota {
@@ -92,7 +118,7 @@
         self.usages.retain(|team, _| limits.contains_key(team));
         for (team, limit) in limits {
             let usage = self.usages.entry(team).or_insert_with(|| {
-                let mut usage = Usage { limit, steps: VecDeque::new(), sum: 0.0 };
+                let mut usage = Usage::new(limit, now);
                 if joins {
                     usage.assume_rate(now, self.window);
                 }
@@ -104,8 +130,8 @@
 
     /// Admits a request of `cost`, or says when it would be.
     ///
-    /// A request that costs more than a whole window allows is admitted where
-    /// nothing else was, so that it can run at all.
+    /// A request that costs more than may be used at once is admitted where
+    /// all of that is there, so that it can run at all.
     ///
     /// # Errors
     ///
@@ -119,6 +145,12 @@
     ) -> Result<(), Duration> {
         let Some(usage) = self.usages.get_mut(team) else { return Ok(()) };
         usage.forget(now, self.window);
+        usage.fill(now, share);
+        let needed = f64::from(cost.0).min(capacity(usage.limit));
+        if usage.level < needed {
+            let rate = (usage.limit.rate * share).max(1.0);
+            return Err(Duration::from_secs_f64((needed - usage.level) / rate));
+        }
         let most = (usage.limit.rate * self.window.as_secs_f64() + usage.limit.burst) * share;
         let cost_now = f64::from(cost.0);
         let excess = usage.sum + cost_now.min(most) - most;
@@ -134,6 +166,7 @@
     pub fn refund(&mut self, team: &id::Team, cost: Tokens) {
         let Some(usage) = self.usages.get_mut(team) else { return };
         let mut left = f64::from(cost.0);
+        usage.level += left;
         for (_, step) in usage.steps.iter_mut().rev() {
             let back = left.min(*step);
             *step -= back;
--- a/crates/core/src/entry/scheduler.rs
+++ b/crates/core/src/entry/scheduler.rs
@@ -26,10 +26,11 @@
 const FORGOTTEN: Duration = Duration::from_secs(15);
 /// How often a request that could not be sent at all is placed anew.
 const MAX_UNSENT: u32 = 4;
-/// How much of a request's time is kept back for the answer while it waits.
+/// How much of a caller's patience is kept back for the first byte or event
+/// of the answer while the request waits.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
-/// The part of its time that a request waits at the most.
-const MAX_WAIT_PART: f64 = 0.7;
+/// The part of its caller's patience that a request waits at the most.
+const MAX_WAIT_PART: f64 = 0.85;
 /// How many waiting requests are tried in one pass.
 const CANDIDATES: usize = 64;
 /// The soonest that a refused caller is told to come back.
@@ -369,9 +370,9 @@
     /// Refuses waiting requests that can no longer be served in time.
     fn expire(&mut self, now: Instant) {
         let is_over = |w: &Waiting| {
-            let whole = w.call.deadline.saturating_duration_since(w.call.arrived);
-            let latest = w.call.arrived + whole.mul_f64(MAX_WAIT_PART);
-            now >= latest || w.call.left(now) < ANSWER_MARGIN
+            let patience = w.call.first_due.saturating_duration_since(w.call.arrived);
+            let latest = w.call.arrived + patience.mul_f64(MAX_WAIT_PART);
+            now >= latest || now + ANSWER_MARGIN >= w.call.first_due
         };
         let over: Vec<_> = self.backlog.iter().filter(|w| is_over(w)).map(|w| w.call.id).collect();
         for id in over {
