--- a/crates/core/src/entry/quota.rs
+++ b/crates/core/src/entry/quota.rs
@@ -1,9 +1,10 @@
 //! What teams may use, over all instances together.
 //!
 //! A team may use its rate times the window in which it is counted, and its
-//! burst, in any such window; and of that only its burst and the rate of some
-//! seconds at once, so that little is lost to memory when all instances die
-//! together. Each instance counts what it admits itself and
+//! burst, in any such window. When all instances die together, what was used
+//! is forgotten: so that the excess stays within what the users tolerate, a
+//! team may use no more than its burst and part of that tolerance at once.
+//! Each instance counts what it admits itself and
 //! what its peers say that they admitted. A peer that is silent may be cut off
 //! and go on admitting: its equal share is left to it, so that the sides of a
 //! partition together stay within the quota.
@@ -18,8 +19,8 @@
 /// What is admitted within such a time is counted as admitted at once.
 const STEP: Duration = Duration::from_millis(100);
 
-/// How much of the rate a team may save up beside its burst.
-const SAVED: Duration = Duration::from_secs(2);
+/// The part of the tolerance that a team may save up beside its burst.
+const SAVED_PART: f64 = 0.5;
 
 /// What was admitted in the last window.
 #[derive(Clone, Debug)]
@@ -33,15 +34,14 @@
 }
 
 impl Usage {
-    fn new(limit: Limit, now: Instant) -> Self {
-        let level = capacity(limit);
+    fn new(limit: Limit, level: f64, now: Instant) -> Self {
         Self { limit, steps: VecDeque::new(), sum: 0.0, level, filled: now }
     }
 
-    fn fill(&mut self, now: Instant, share: f64) {
+    fn fill(&mut self, now: Instant, share: f64, capacity: f64) {
         let elapsed = now.saturating_duration_since(self.filled).as_secs_f64();
         let level = self.level + elapsed * self.limit.rate * share;
-        self.level = level.min(capacity(self.limit));
+        self.level = level.min(capacity);
         self.filled = self.filled.max(now);
     }
 
@@ -90,22 +90,40 @@
     }
 }
 
-fn capacity(limit: Limit) -> f64 {
-    limit.burst + limit.rate * SAVED.as_secs_f64()
+/// How quotas are counted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Counting {
+    /// The window in which a team's use is counted.
+    pub window: Duration,
+    /// The excess in a window that is tolerated, in tokens.
+    pub tolerance: f64,
+}
+
+impl Counting {
+    /// What a team may use in a window.
+    fn allowance(&self, limit: Limit) -> f64 {
+        limit.rate * self.window.as_secs_f64() + limit.burst
+    }
+
+    /// What a team may use at once.
+    fn capacity(&self, limit: Limit) -> f64 {
+        let saved = limit.rate * self.window.as_secs_f64();
+        limit.burst + saved.min(self.tolerance * SAVED_PART)
+    }
 }
 
 /// What all teams that have a quota use.
 #[derive(Debug)]
 pub struct Quota {
-    window: Duration,
+    counting: Counting,
     usages: HashMap<id::Team, Usage>,
     admitted: HashMap<id::Team, u64>,
 }
 
 impl Quota {
-    /// Quotas that are counted over a window.
-    pub fn new(window: Duration) -> Self {
-        Self { window, usages: HashMap::new(), admitted: HashMap::new() }
+    /// Quotas of which nothing is used yet.
+    pub fn new(counting: Counting) -> Self {
+        Self { counting, usages: HashMap::new(), admitted: HashMap::new() }
     }
 
     /// Takes over the limits of a plan; what was used stays used.
@@ -116,11 +134,12 @@
         let limits: HashMap<_, _> =
             plan.teams().filter_map(|t| Some((t.id.clone(), t.quota?))).collect();
         self.usages.retain(|team, _| limits.contains_key(team));
+        let counting = self.counting;
         for (team, limit) in limits {
             let usage = self.usages.entry(team).or_insert_with(|| {
-                let mut usage = Usage::new(limit, now);
+                let mut usage = Usage::new(limit, counting.capacity(limit), now);
                 if joins {
-                    usage.assume_rate(now, self.window);
+                    usage.assume_rate(now, counting.window);
                 }
                 usage
             });
@@ -144,18 +163,20 @@
         share: f64,
     ) -> Result<(), Duration> {
         let Some(usage) = self.usages.get_mut(team) else { return Ok(()) };
-        usage.forget(now, self.window);
-        usage.fill(now, share);
-        let needed = f64::from(cost.0).min(capacity(usage.limit));
+        let Counting { window, .. } = self.counting;
+        let capacity = self.counting.capacity(usage.limit);
+        usage.forget(now, window);
+        usage.fill(now, share, capacity);
+        let needed = f64::from(cost.0).min(capacity);
         if usage.level < needed {
             let rate = (usage.limit.rate * share).max(1.0);
             return Err(Duration::from_secs_f64((needed - usage.level) / rate));
         }
-        let most = (usage.limit.rate * self.window.as_secs_f64() + usage.limit.burst) * share;
+        let most = self.counting.allowance(usage.limit) * share;
         let cost_now = f64::from(cost.0);
         let excess = usage.sum + cost_now.min(most) - most;
         if excess > 0.0 {
-            return Err(usage.time_until_free(excess, now, self.window));
+            return Err(usage.time_until_free(excess, now, window));
         }
         usage.add(cost_now, now);
         *self.admitted.entry(team.clone()).or_default() += u64::from(cost.0);
@@ -178,7 +199,7 @@
     /// Counts what a peer admitted.
     pub fn admitted_elsewhere(&mut self, team: &id::Team, cost: u64, now: Instant) {
         if let Some(usage) = self.usages.get_mut(team).filter(|_| cost > 0) {
-            usage.forget(now, self.window);
+            usage.forget(now, self.counting.window);
             usage.add(cost as f64, now);
         }
     }
--- a/crates/core/src/entry/scheduler.rs
+++ b/crates/core/src/entry/scheduler.rs
@@ -10,7 +10,7 @@
 use super::fleet::{Choice, Fleet, Listed, Place};
 use super::gossip::{self, Gossip};
 use super::plan::Plan;
-use super::quota::Quota;
+use super::quota::{Counting, Quota};
 use crate::hash::spread;
 use crate::id;
 
@@ -47,8 +47,8 @@
     pub incarnation: id::Incarnation,
     /// The bound on repeats.
     pub allowance: Allowance,
-    /// The window in which quotas are counted.
-    pub quota_window: Duration,
+    /// How quotas are counted.
+    pub counting: Counting,
     /// Whether the system was at work before this instance started.
     pub joins: bool,
 }
@@ -152,7 +152,7 @@
         Self {
             fleet: Fleet::new(options.place.clone()),
             budget: Budget::new(options.allowance),
-            quota: Quota::new(options.quota_window),
+            quota: Quota::new(options.counting),
             options,
             plan: Arc::default(),
             backlog: Backlog::default(),
