--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -25,8 +25,11 @@
 const FAILURE_COST: Duration = Duration::from_millis(2_500);
 /// What the way to another availability zone costs, counted as time.
 const ZONE_COST: Duration = Duration::from_millis(30);
-/// Spreads instances that see the same state over different upstreams.
-const SPREAD_COST: Duration = Duration::from_millis(25);
+/// The least cost that spreads instances over different upstreams.
+const MIN_SPREAD_COST: Duration = Duration::from_millis(25);
+/// How many requests for each slot a plain service is given: it queues some,
+/// and the order among them matters little.
+const PLAIN_QUEUE: u32 = 2;
 
 /// An upstream as the directory lists it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -120,9 +123,10 @@
         self.running.len() as u32
     }
 
-    /// Whether one more request would find a slot.
-    pub fn has_room(&self) -> bool {
-        self.running() < self.listed.slots
+    /// Whether one more request would find a slot, or a short queue.
+    fn has_room(&self, call: &Call) -> bool {
+        let is_plain = call.prompt.0 == 0;
+        self.running() < self.listed.slots * if is_plain { PLAIN_QUEUE } else { 1 }
     }
 
     fn own_prefill(&self) -> u32 {
@@ -147,7 +151,7 @@
         self.pace.first_time(call.prompt)
     }
 
-    fn estimate(&self, call: &Call, now: Instant, place: &Place) -> Estimate {
+    fn estimate(&self, call: &Call, now: Instant, place: &Place, sight: Sight) -> Estimate {
         let (first, end) = if call.prompt.0 == 0 {
             let first = Duration::from_secs_f64(self.pace.call_ms / 1e3);
             let crowd = f64::from(self.running()) / f64::from(self.listed.slots.max(1));
@@ -160,7 +164,7 @@
         let turn = spread((place.instance.as_str(), self.listed.id.as_str())) % 1_024;
         let against = FAILURE_COST.mul_f64(self.failure_share(now))
             + zone
-            + SPREAD_COST.mul_f64(turn as f64 / 1_024.0);
+            + MIN_SPREAD_COST.max(sight.lag).mul_f64(turn as f64 / 1_024.0);
         Estimate { first, cost: end + against }
     }
 
@@ -186,6 +190,16 @@
     pub zone: id::Zone,
 }
 
+/// How well an instance sees what its peers run.
+#[derive(Clone, Copy, Debug)]
+pub struct Sight {
+    /// Whether it hears the peers of other availability zones.
+    pub is_wide: bool,
+    /// How old what it hears may be: instances that see the same old state
+    /// are spread over different upstreams by as much.
+    pub lag: Duration,
+}
+
 /// All upstreams.
 #[derive(Debug)]
 pub struct Fleet {
@@ -262,23 +276,35 @@
     ///
     /// A request that would miss its aim on all that have room waits as long
     /// as one without room could still meet it.
-    pub fn choose(&self, call: &Call, excluded: &[id::Upstream], now: Instant) -> Choice {
+    ///
+    /// Where only the own availability zone is seen, other zones' upstreams
+    /// are used if none of the own zone is open.
+    pub fn choose(
+        &self,
+        call: &Call,
+        excluded: &[id::Upstream],
+        sight: Sight,
+        now: Instant,
+    ) -> Choice {
+        let is_open = |u: &&Upstream| {
+            u.listed.service == call.service && u.is_open(now) && !excluded.contains(&u.listed.id)
+        };
+        let is_near = |u: &&Upstream| u.listed.zone == self.place.zone;
+        let only_near =
+            !sight.is_wide && self.upstreams.values().filter(is_open).any(|u| is_near(&u));
         let mut is_known = false;
         let mut best: Option<(Estimate, &Upstream)> = None;
         let mut fastest_busy: Option<Duration> = None;
-        let open = self
-            .upstreams
-            .values()
-            .filter(|u| u.listed.service == call.service && u.is_open(now))
-            .filter(|u| !excluded.contains(&u.listed.id));
+        let open = self.upstreams.values().filter(is_open);
+        let open = open.filter(|u| !only_near || is_near(u));
         for upstream in open {
             is_known = true;
-            if !upstream.has_room() {
+            if !upstream.has_room(call) {
                 let first = upstream.idle_first_time(call);
                 fastest_busy = Some(fastest_busy.map_or(first, |f| f.min(first)));
                 continue;
             }
-            let estimate = upstream.estimate(call, now, &self.place);
+            let estimate = upstream.estimate(call, now, &self.place, sight);
             if best.is_none_or(|(b, _)| estimate.cost < b.cost) {
                 best = Some((estimate, upstream));
             }
--- a/crates/core/src/entry/proof.rs
+++ b/crates/core/src/entry/proof.rs
@@ -44,3 +44,36 @@
         self.newest.map(|at| now.0.saturating_sub(at.0))
     }
 }
+
+/// Turns the times of another steady clock into this machine's.
+///
+/// An answer comes after it was made: the least difference ever seen between
+/// the time of its arrival and the time that it states is the closest to that
+/// of the clocks, and a time that is turned with it is never much too late.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Offset {
+    least: Option<i128>,
+}
+
+impl Offset {
+    /// Takes an answer that states `stated` and came at `arrived`; gives the
+    /// time on this machine's clock at which it was made at the earliest.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use rosemarypond_core::entry::proof::{Offset, Uptime};
+    /// let ms = |ms| Duration::from_millis(ms);
+    /// let mut offset = Offset::default();
+    /// assert_eq!(offset.made_at(ms(100), Uptime(ms(5_002))), Uptime(ms(5_002)));
+    /// // Held up on the way for 900 ms.
+    /// assert_eq!(offset.made_at(ms(200), Uptime(ms(6_002))), Uptime(ms(5_102)));
+    /// ```
+    pub fn made_at(&mut self, stated: Duration, arrived: Uptime) -> Uptime {
+        let stated = stated.as_nanos() as i128;
+        let difference = arrived.0.as_nanos() as i128 - stated;
+        let least = self.least.map_or(difference, |least| least.min(difference));
+        self.least = Some(least);
+        let nanos = u64::try_from(stated + least).unwrap_or_default();
+        Uptime(Duration::from_nanos(nanos))
+    }
+}
--- a/crates/core/src/entry/scheduler.rs
+++ b/crates/core/src/entry/scheduler.rs
@@ -7,7 +7,7 @@
 use super::backlog::{Backlog, Waiting};
 use super::budget::{Allowance, Budget};
 use super::call::{Call, Ended, Reason};
-use super::fleet::{Choice, Fleet, Listed, Place};
+use super::fleet::{Choice, Fleet, Listed, Place, Sight};
 use super::gossip::{self, Gossip};
 use super::plan::Plan;
 use super::quota::{Counting, Quota};
@@ -16,8 +16,17 @@
 
 /// How often [`Event::Tick`] is to be sent.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// The shortest time between two messages to peers.
+/// The shortest time between two messages to the same peers.
 const MIN_GOSSIP_INTERVAL: Duration = Duration::from_millis(30);
+/// The most messages a second that an instance sends; with many peers each
+/// hears from it less often.
+const MAX_MESSAGES_PER_SECOND: u32 = 150;
+/// With more instances than these, the state of upstreams is told within the
+/// availability zone only.
+const MAX_WIDE_INSTANCES: usize = 16;
+/// The time between two messages to the peers of other zones, where the state
+/// of upstreams is told within the zone only.
+const FAR_GOSSIP_INTERVAL: Duration = Duration::from_secs(1);
 /// The longest time between two messages to peers.
 const MAX_GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
 /// A peer that was not heard for this long is taken to run nothing.
@@ -104,7 +113,23 @@
         retry_after: Duration,
     },
     /// Tell the peers.
-    Tell(Gossip),
+    Tell {
+        /// Who hears it.
+        audience: Audience,
+        /// What they hear.
+        gossip: Gossip,
+    },
+}
+
+/// The peers that hear a message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Audience {
+    /// All.
+    Everyone,
+    /// Those of the own availability zone.
+    OwnZone,
+    /// Those of the other availability zones.
+    OtherZones,
 }
 
 #[derive(Debug)]
@@ -120,11 +145,11 @@
 #[derive(Debug)]
 struct Peer {
     incarnation: id::Incarnation,
+    zone: id::Zone,
     sequence: u64,
     heard: Instant,
     is_quiet: bool,
     leaving: bool,
-    waiting: Vec<gossip::Waiting>,
     admitted: HashMap<id::Team, u64>,
 }
 
@@ -141,6 +166,7 @@
     peers: BTreeMap<id::Instance, Peer>,
     sequence: u64,
     last_gossip: Option<Instant>,
+    last_far_gossip: Option<Instant>,
     is_changed: bool,
     is_stopping: bool,
     actions: Vec<Action>,
@@ -160,6 +186,7 @@
             peers: BTreeMap::new(),
             sequence: 0,
             last_gossip: None,
+            last_far_gossip: None,
             is_changed: false,
             is_stopping: false,
             actions: Vec::new(),
@@ -322,9 +349,10 @@
         if self.backlog.is_empty() {
             return;
         }
+        let sight = Sight { is_wide: self.is_wide(), lag: self.gossip_interval() };
         for id in self.backlog.ordered(now).into_iter().take(CANDIDATES) {
             let Some(waiting) = self.backlog.get(id) else { continue };
-            let choice = self.fleet.choose(&waiting.call, &waiting.excluded, now);
+            let choice = self.fleet.choose(&waiting.call, &waiting.excluded, sight, now);
             if let Choice::Send(upstream, expected) = choice {
                 self.send(now, id, upstream, expected);
             }
@@ -400,11 +428,11 @@
         }
         let peer = Peer {
             incarnation: gossip.incarnation,
+            zone: gossip.zone,
             sequence: gossip.sequence,
             heard: now,
             is_quiet: false,
             leaving: gossip.leaving,
-            waiting: gossip.waiting,
             admitted: gossip.admitted.into_iter().collect(),
         };
         self.peers.insert(gossip.from, peer);
@@ -449,30 +477,57 @@
         self.is_stopping = true;
         self.is_changed = true;
         self.last_gossip = None;
+        self.last_far_gossip = None;
         self.gossip(now);
     }
 
+    /// Tells peers the state of this instance, where it is time to.
     fn gossip(&mut self, now: Instant) {
-        let since = self.last_gossip.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
-        let is_due =
-            since >= MAX_GOSSIP_INTERVAL || self.is_changed && since >= MIN_GOSSIP_INTERVAL;
-        if !is_due {
-            return;
+        let since = |last: Option<Instant>| {
+            last.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+        };
+        let is_wide = self.is_wide();
+        let elapsed = since(self.last_gossip);
+        let interval = self.gossip_interval();
+        if elapsed >= MAX_GOSSIP_INTERVAL.max(interval) || self.is_changed && elapsed >= interval {
+            self.is_changed = false;
+            self.last_gossip = Some(now);
+            let audience = if is_wide { Audience::Everyone } else { Audience::OwnZone };
+            self.tell(audience);
+        }
+        if !is_wide && since(self.last_far_gossip) >= FAR_GOSSIP_INTERVAL {
+            self.last_far_gossip = Some(now);
+            self.tell(Audience::OtherZones);
         }
-        self.is_changed = false;
-        self.last_gossip = Some(now);
+    }
+
+    fn tell(&mut self, audience: Audience) {
         self.sequence += 1;
+        let is_near = audience != Audience::OtherZones;
         let gossip = Gossip {
             from: self.options.place.instance.clone(),
             incarnation: self.options.incarnation,
             zone: self.options.place.zone.clone(),
             sequence: self.sequence,
             leaving: self.is_stopping,
-            loads: self.fleet.loads(),
-            waiting: self.waiting(),
+            loads: if is_near { self.fleet.loads() } else { vec![] },
+            waiting: if is_near { self.waiting() } else { vec![] },
             admitted: self.quota.admitted().map(|(t, c)| (t.clone(), c)).collect(),
         };
-        self.actions.push(Action::Tell(gossip));
+        self.actions.push(Action::Tell { audience, gossip });
+    }
+
+    /// Whether the state of upstreams is told to all peers.
+    fn is_wide(&self) -> bool {
+        self.instances() <= MAX_WIDE_INSTANCES
+    }
+
+    /// The shortest time between two messages to the same peers.
+    fn gossip_interval(&self) -> Duration {
+        let zone = &self.options.place.zone;
+        let is_wide = self.is_wide();
+        let near = self.peers.values().filter(|p| is_wide || p.zone == *zone).count();
+        MIN_GOSSIP_INTERVAL.max(Duration::from_secs(near as u64) / MAX_MESSAGES_PER_SECOND)
     }
 
     fn waiting(&self) -> Vec<gossip::Waiting> {
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -8,7 +8,7 @@
 use bytes::BytesMut;
 use rosemarypond_core::entry::gossip::{Gossip, Load, Waiting};
 use rosemarypond_core::entry::pace::Pace;
-use rosemarypond_core::entry::scheduler::Event;
+use rosemarypond_core::entry::scheduler::{Audience, Event};
 use rosemarypond_core::id;
 use rosemarypond_core::unit::Tokens;
 use rosemarypond_wire::datagram::Codec;
@@ -17,19 +17,26 @@
 use tokio::sync::mpsc;
 use tokio_util::codec::{Decoder, Encoder};
 
-use crate::runtime::Handle;
+use crate::runtime::{Handle, Told};
 
 /// The longest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
+/// Where a peer is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Peer {
+    address: SocketAddr,
+    zone: id::Zone,
+}
+
 /// Where the peers are.
 #[derive(Clone, Debug, Default)]
-pub struct Peers(Rc<RefCell<HashMap<id::Instance, SocketAddr>>>);
+pub struct Peers(Rc<RefCell<HashMap<id::Instance, Peer>>>);
 
 impl Peers {
-    /// Notes where a peer is; says whether that is news.
-    pub fn set(&self, peer: id::Instance, address: SocketAddr) -> bool {
-        self.0.borrow_mut().insert(peer, address) != Some(address)
+    /// Notes where a peer is.
+    pub fn set(&self, peer: id::Instance, zone: id::Zone, address: SocketAddr) {
+        self.0.borrow_mut().insert(peer, Peer { address, zone });
     }
 
     /// Forgets a peer.
@@ -37,8 +44,14 @@
         self.0.borrow_mut().remove(peer);
     }
 
-    fn addresses(&self) -> Vec<SocketAddr> {
-        self.0.borrow().values().copied().collect()
+    fn addresses(&self, audience: Audience, own_zone: &id::Zone) -> Vec<SocketAddr> {
+        let peers = self.0.borrow();
+        let hears = |peer: &&Peer| match audience {
+            Audience::Everyone => true,
+            Audience::OwnZone => peer.zone == *own_zone,
+            Audience::OtherZones => peer.zone != *own_zone,
+        };
+        peers.values().filter(hears).map(|peer| peer.address).collect()
     }
 }
 
@@ -46,32 +59,34 @@
 pub async fn exchange(
     socket: UdpSocket,
     handle: Handle,
-    mut told: mpsc::UnboundedReceiver<Gossip>,
+    mut told: mpsc::UnboundedReceiver<Told>,
     peers: Peers,
 ) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         tokio::select! {
-            gossip = told.recv() => {
-                let Some(gossip) = gossip else { return };
-                tell(&socket, &peers, gossip);
+            message = told.recv() => {
+                let Some(message) = message else { return };
+                tell(&socket, &peers, message);
             }
             received = socket.recv_from(&mut buffer) => {
                 let Ok((length, from)) = received else { continue };
                 let Some(gossip) = decode(&buffer[..length]) else { continue };
-                peers.set(gossip.from.clone(), from);
+                peers.set(gossip.from.clone(), gossip.zone.clone(), from);
                 handle.event(Event::Heard(gossip));
             }
         }
     }
 }
 
-fn tell(socket: &UdpSocket, peers: &Peers, gossip: Gossip) {
+fn tell(socket: &UdpSocket, peers: &Peers, message: Told) {
+    let Told { audience, gossip } = message;
+    let addresses = peers.addresses(audience, &gossip.zone);
     let mut datagram = BytesMut::new();
     if Codec.encode(encode(gossip), &mut datagram).is_err() {
         return;
     }
-    for address in peers.addresses() {
+    for address in addresses {
         // State is sent again soon: what does not go out now is left out.
         let _ = socket.try_send_to(&datagram, address);
     }
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -9,7 +9,7 @@
 use rosemarypond_core::entry::fleet::Listed;
 use rosemarypond_core::entry::gossip::Gossip;
 use rosemarypond_core::entry::node::Node;
-use rosemarypond_core::entry::scheduler::{Action, Event, Options, Scheduler};
+use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler};
 use rosemarypond_core::id;
 use stakker::{ActorOwn, Stakker, actor, call, fwd_do, ret_nop};
 use tokio::sync::mpsc;
@@ -39,12 +39,21 @@
     },
 }
 
+/// A message to peers.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// Who hears it.
+    pub audience: Audience,
+    /// What they hear.
+    pub gossip: Gossip,
+}
+
 struct Inner {
     stakker: RefCell<Stakker>,
     node: ActorOwn<Node>,
     actions: Rc<RefCell<Vec<Action>>>,
     waiters: RefCell<HashMap<id::Request, mpsc::UnboundedSender<Directive>>>,
-    gossip: mpsc::UnboundedSender<Gossip>,
+    gossip: mpsc::UnboundedSender<Told>,
 }
 
 /// Gives events to the scheduler and carries its actions to those concerned.
@@ -53,7 +62,7 @@
 
 impl Handle {
     /// Starts the scheduler; what it tells peers comes out of the receiver.
-    pub fn start(options: Options) -> (Self, mpsc::UnboundedReceiver<Gossip>) {
+    pub fn start(options: Options) -> (Self, mpsc::UnboundedReceiver<Told>) {
         let mut stakker = Stakker::new(clock::now());
         let actions = Rc::new(RefCell::new(Vec::new()));
         let taken = actions.clone();
@@ -119,7 +128,9 @@
                 self.direct(request, Directive::Refuse { reason, retry_after });
             }
             // The receiver lives as long as the thread.
-            Action::Tell(gossip) => drop(self.0.gossip.send(gossip)),
+            Action::Tell { audience, gossip } => {
+                drop(self.0.gossip.send(Told { audience, gossip }));
+            }
         }
     }
 
