--- a/crates/core/src/entry/scheduler.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -1,5 +1,7 @@
 //! Which request goes where and when, and which is refused.
 
+mod peers;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,31 +10,16 @@
 use super::budget::{Allowance, Budget};
 use super::call::{Call, Ended, Reason};
 use super::fleet::{Choice, Fleet, Listed, Place, Sight};
-use super::gossip::{self, Gossip};
+use super::gossip::Gossip;
 use super::plan::Plan;
 use super::quota::{Counting, Quota};
 use crate::hash::spread;
 use crate::id;
 
+use peers::Peer;
+
 /// How often [`Event::Tick`] is to be sent.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// The shortest time between two messages to the same peers.
-const MIN_GOSSIP_INTERVAL: Duration = Duration::from_millis(30);
-/// The most messages a second that an instance sends; with many peers each
-/// hears from it less often.
-const MAX_MESSAGES_PER_SECOND: u32 = 150;
-/// With more instances than these, the state of upstreams is told within the
-/// availability zone only.
-const MAX_WIDE_INSTANCES: usize = 16;
-/// The time between two messages to the peers of other zones, where the state
-/// of upstreams is told within the zone only.
-const FAR_GOSSIP_INTERVAL: Duration = Duration::from_secs(1);
-/// The longest time between two messages to peers.
-const MAX_GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
-/// A peer that was not heard for this long is taken to run nothing.
-const SILENCE: Duration = Duration::from_millis(1_500);
-/// A peer that was not heard for this long is taken to admit nothing.
-const FORGOTTEN: Duration = Duration::from_secs(15);
 /// How often a request that could not be sent at all is placed anew.
 const MAX_UNSENT: u32 = 4;
 /// How much of a caller's patience is kept back for the first byte or event
@@ -142,17 +129,6 @@
     has_run: bool,
 }
 
-#[derive(Debug)]
-struct Peer {
-    incarnation: id::Incarnation,
-    zone: id::Zone,
-    sequence: u64,
-    heard: Instant,
-    is_quiet: bool,
-    leaving: bool,
-    admitted: HashMap<id::Team, u64>,
-}
-
 /// The decisions of one instance.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -271,7 +247,8 @@
             };
             self.fleet.ended(&upstream, id, tokens, now);
             self.judge_upstream(now, &upstream, how);
-            if let Some(held) = self.held.get_mut(&id) {
+            // One that could not be reached rests, and may take it afterwards.
+            if let Some(held) = self.held.get_mut(&id).filter(|_| how != Ended::NotSent) {
                 held.excluded.push(upstream);
             }
         }
@@ -408,37 +385,6 @@
         }
     }
 
-    fn heard(&mut self, now: Instant, gossip: Gossip) {
-        if gossip.from == self.options.place.instance {
-            return;
-        }
-        let known = self.peers.get(&gossip.from);
-        let is_old = known
-            .is_some_and(|p| p.incarnation == gossip.incarnation && p.sequence >= gossip.sequence);
-        if is_old {
-            return;
-        }
-        self.fleet.hear(&gossip.from, &gossip.loads);
-        let before = known.filter(|p| p.incarnation == gossip.incarnation);
-        for (team, total) in &gossip.admitted {
-            // What was admitted before a peer was first heard is long past.
-            let Some(before) = before else { continue };
-            let seen = before.admitted.get(team).copied().unwrap_or_default();
-            self.quota.admitted_elsewhere(team, total.saturating_sub(seen), now);
-        }
-        let peer = Peer {
-            incarnation: gossip.incarnation,
-            zone: gossip.zone,
-            sequence: gossip.sequence,
-            heard: now,
-            is_quiet: false,
-            leaving: gossip.leaving,
-            admitted: gossip.admitted.into_iter().collect(),
-        };
-        self.peers.insert(gossip.from, peer);
-        self.place_waiting(now);
-    }
-
     fn tick(&mut self, now: Instant) {
         self.quiet_peers(now);
         self.expire(now);
@@ -446,33 +392,6 @@
         self.gossip(now);
     }
 
-    fn quiet_peers(&mut self, now: Instant) {
-        for (id, peer) in &mut self.peers {
-            let silence = now.saturating_duration_since(peer.heard);
-            if silence > SILENCE && !peer.is_quiet {
-                peer.is_quiet = true;
-                self.fleet.forget(id);
-            }
-        }
-        self.peers.retain(|_, p| {
-            let silence = now.saturating_duration_since(p.heard);
-            silence < FORGOTTEN && !(p.leaving && p.is_quiet)
-        });
-    }
-
-    /// The instances that may be at work, with this one.
-    fn instances(&self) -> usize {
-        self.peers.len() + 1
-    }
-
-    /// The part of each quota that this instance and the peers that it hears
-    /// may use together.
-    fn quota_share(&self) -> f64 {
-        let quiet = self.peers.values().filter(|p| p.is_quiet).count();
-        let all = self.instances();
-        (all - quiet) as f64 / all as f64
-    }
-
     fn stop(&mut self, now: Instant) {
         self.is_stopping = true;
         self.is_changed = true;
@@ -480,62 +399,4 @@
         self.last_far_gossip = None;
         self.gossip(now);
     }
-
-    /// Tells peers the state of this instance, where it is time to.
-    fn gossip(&mut self, now: Instant) {
-        let since = |last: Option<Instant>| {
-            last.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
-        };
-        let is_wide = self.is_wide();
-        let elapsed = since(self.last_gossip);
-        let interval = self.gossip_interval();
-        if elapsed >= MAX_GOSSIP_INTERVAL.max(interval) || self.is_changed && elapsed >= interval {
-            self.is_changed = false;
-            self.last_gossip = Some(now);
-            let audience = if is_wide { Audience::Everyone } else { Audience::OwnZone };
-            self.tell(audience);
-        }
-        if !is_wide && since(self.last_far_gossip) >= FAR_GOSSIP_INTERVAL {
-            self.last_far_gossip = Some(now);
-            self.tell(Audience::OtherZones);
-        }
-    }
-
-    fn tell(&mut self, audience: Audience) {
-        self.sequence += 1;
-        let is_near = audience != Audience::OtherZones;
-        let gossip = Gossip {
-            from: self.options.place.instance.clone(),
-            incarnation: self.options.incarnation,
-            zone: self.options.place.zone.clone(),
-            sequence: self.sequence,
-            leaving: self.is_stopping,
-            loads: if is_near { self.fleet.loads() } else { vec![] },
-            waiting: if is_near { self.waiting() } else { vec![] },
-            admitted: self.quota.admitted().map(|(t, c)| (t.clone(), c)).collect(),
-        };
-        self.actions.push(Action::Tell { audience, gossip });
-    }
-
-    /// Whether the state of upstreams is told to all peers.
-    fn is_wide(&self) -> bool {
-        self.instances() <= MAX_WIDE_INSTANCES
-    }
-
-    /// The shortest time between two messages to the same peers.
-    fn gossip_interval(&self) -> Duration {
-        let zone = &self.options.place.zone;
-        let is_wide = self.is_wide();
-        let near = self.peers.values().filter(|p| is_wide || p.zone == *zone).count();
-        MIN_GOSSIP_INTERVAL.max(Duration::from_secs(near as u64) / MAX_MESSAGES_PER_SECOND)
-    }
-
-    fn waiting(&self) -> Vec<gossip::Waiting> {
-        let mut counts: BTreeMap<(id::Service, u8), u32> = BTreeMap::new();
-        for waiting in self.backlog.iter() {
-            *counts.entry((waiting.call.service.clone(), waiting.call.rank)).or_default() += 1;
-        }
-        let waiting = |((service, rank), count)| gossip::Waiting { service, rank, count };
-        counts.into_iter().map(waiting).collect()
-    }
 }
--- /dev/null
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -0,0 +1,156 @@
+//! What peers tell, and what they are told.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use super::{Action, Audience, Scheduler};
+use crate::entry::gossip::{self, Gossip};
+use crate::id;
+
+/// The shortest time between two messages to the same peers.
+const MIN_GOSSIP_INTERVAL: Duration = Duration::from_millis(30);
+/// The most messages a second that an instance sends; with many peers each
+/// hears from it less often.
+const MAX_MESSAGES_PER_SECOND: u32 = 150;
+/// With more instances than these, the state of upstreams is told within the
+/// availability zone only.
+const MAX_WIDE_INSTANCES: usize = 16;
+/// The time between two messages to the peers of other zones, where the state
+/// of upstreams is told within the zone only.
+const FAR_GOSSIP_INTERVAL: Duration = Duration::from_secs(1);
+/// The longest time between two messages to peers.
+const MAX_GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
+/// A peer that was not heard for this long is taken to run nothing.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// A peer that was not heard for this long is taken to admit nothing.
+const FORGOTTEN: Duration = Duration::from_secs(15);
+
+/// A peer as it was last heard.
+#[derive(Debug)]
+pub(super) struct Peer {
+    incarnation: id::Incarnation,
+    zone: id::Zone,
+    sequence: u64,
+    heard: Instant,
+    is_quiet: bool,
+    leaving: bool,
+    admitted: HashMap<id::Team, u64>,
+}
+
+impl Scheduler {
+    pub(super) fn heard(&mut self, now: Instant, gossip: Gossip) {
+        if gossip.from == self.options.place.instance {
+            return;
+        }
+        let known = self.peers.get(&gossip.from);
+        let is_old = known
+            .is_some_and(|p| p.incarnation == gossip.incarnation && p.sequence >= gossip.sequence);
+        if is_old {
+            return;
+        }
+        self.fleet.hear(&gossip.from, &gossip.loads);
+        let before = known.filter(|p| p.incarnation == gossip.incarnation);
+        for (team, total) in &gossip.admitted {
+            // What was admitted before a peer was first heard is long past.
+            let Some(before) = before else { continue };
+            let seen = before.admitted.get(team).copied().unwrap_or_default();
+            self.quota.admitted_elsewhere(team, total.saturating_sub(seen), now);
+        }
+        let peer = Peer {
+            incarnation: gossip.incarnation,
+            zone: gossip.zone,
+            sequence: gossip.sequence,
+            heard: now,
+            is_quiet: false,
+            leaving: gossip.leaving,
+            admitted: gossip.admitted.into_iter().collect(),
+        };
+        self.peers.insert(gossip.from, peer);
+        self.place_waiting(now);
+    }
+
+    pub(super) fn quiet_peers(&mut self, now: Instant) {
+        for (id, peer) in &mut self.peers {
+            let silence = now.saturating_duration_since(peer.heard);
+            if silence > SILENCE && !peer.is_quiet {
+                peer.is_quiet = true;
+                self.fleet.forget(id);
+            }
+        }
+        self.peers.retain(|_, p| {
+            let silence = now.saturating_duration_since(p.heard);
+            silence < FORGOTTEN && !(p.leaving && p.is_quiet)
+        });
+    }
+
+    /// The instances that may be at work, with this one.
+    pub(super) fn instances(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// The part of each quota that this instance and the peers that it hears
+    /// may use together.
+    pub(super) fn quota_share(&self) -> f64 {
+        let quiet = self.peers.values().filter(|p| p.is_quiet).count();
+        let all = self.instances();
+        (all - quiet) as f64 / all as f64
+    }
+
+    /// Tells peers the state of this instance, where it is time to.
+    pub(super) fn gossip(&mut self, now: Instant) {
+        let since = |last: Option<Instant>| {
+            last.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+        };
+        let is_wide = self.is_wide();
+        let elapsed = since(self.last_gossip);
+        let interval = self.gossip_interval();
+        if elapsed >= MAX_GOSSIP_INTERVAL.max(interval) || self.is_changed && elapsed >= interval {
+            self.is_changed = false;
+            self.last_gossip = Some(now);
+            let audience = if is_wide { Audience::Everyone } else { Audience::OwnZone };
+            self.tell(audience);
+        }
+        if !is_wide && since(self.last_far_gossip) >= FAR_GOSSIP_INTERVAL {
+            self.last_far_gossip = Some(now);
+            self.tell(Audience::OtherZones);
+        }
+    }
+
+    fn tell(&mut self, audience: Audience) {
+        self.sequence += 1;
+        let is_near = audience != Audience::OtherZones;
+        let gossip = Gossip {
+            from: self.options.place.instance.clone(),
+            incarnation: self.options.incarnation,
+            zone: self.options.place.zone.clone(),
+            sequence: self.sequence,
+            leaving: self.is_stopping,
+            loads: if is_near { self.fleet.loads() } else { vec![] },
+            waiting: if is_near { self.waiting() } else { vec![] },
+            admitted: self.quota.admitted().map(|(t, c)| (t.clone(), c)).collect(),
+        };
+        self.actions.push(Action::Tell { audience, gossip });
+    }
+
+    /// Whether the state of upstreams is told to all peers.
+    pub(super) fn is_wide(&self) -> bool {
+        self.instances() <= MAX_WIDE_INSTANCES
+    }
+
+    /// The shortest time between two messages to the same peers.
+    pub(super) fn gossip_interval(&self) -> Duration {
+        let zone = &self.options.place.zone;
+        let is_wide = self.is_wide();
+        let near = self.peers.values().filter(|p| is_wide || p.zone == *zone).count();
+        MIN_GOSSIP_INTERVAL.max(Duration::from_secs(near as u64) / MAX_MESSAGES_PER_SECOND)
+    }
+
+    fn waiting(&self) -> Vec<gossip::Waiting> {
+        let mut counts: BTreeMap<(id::Service, u8), u32> = BTreeMap::new();
+        for waiting in self.backlog.iter() {
+            *counts.entry((waiting.call.service.clone(), waiting.call.rank)).or_default() += 1;
+        }
+        let waiting = |((service, rank), count)| gossip::Waiting { service, rank, count };
+        counts.into_iter().map(waiting).collect()
+    }
+}
