--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -165,6 +165,7 @@
     pub fn keep(&self, connection: Connection, answer: &http::response::Parts) {
         let header = |name| answer.headers.get(name).and_then(|v| v.to_str().ok());
         if header(http::header::CONNECTION).is_some_and(|c| c.eq_ignore_ascii_case("close")) {
+            connection.settle();
             return;
         }
         let keep_alive = header(http::HeaderName::from_static("keep-alive"));
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -15,6 +15,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
@@ -33,6 +34,19 @@
 struct Counted {
     stream: TcpStream,
     written: Rc<Cell<u64>>,
+    is_settled: Rc<Cell<bool>>,
+}
+
+impl Drop for Counted {
+    /// Resets a connection that ends with a request on it: bytes that are held
+    /// up on the way must not reach the upstream after the request was given
+    /// up on.
+    fn drop(&mut self) {
+        if !self.is_settled.get() {
+            // Where that fails the connection is closed in order.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
 impl Counted {
@@ -103,6 +117,8 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     written: Rc<Cell<u64>>,
+    /// Whether no request is on it.
+    is_settled: Rc<Cell<bool>>,
     is_kept: bool,
     _driver: Driver,
 }
@@ -125,7 +141,8 @@
     pub async fn open(address: SocketAddr, patience: Duration) -> io::Result<Self> {
         let stream = socket::connect(address, patience).await?;
         let written = Rc::new(Cell::new(0));
-        let counted = Counted { stream, written: written.clone() };
+        let is_settled = Rc::new(Cell::new(true));
+        let counted = Counted { stream, written: written.clone(), is_settled: is_settled.clone() };
         let (sender, connection) =
             http1::handshake(TokioIo::new(counted)).await.map_err(io::Error::other)?;
         let driver = spawn_local(async move {
@@ -136,6 +153,7 @@
             address,
             sender,
             written,
+            is_settled,
             is_kept: false,
             _driver: Driver(driver.abort_handle()),
         })
@@ -156,6 +174,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Failed> {
         let before = self.written.get();
+        self.is_settled.set(false);
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(error) if error.message().is_some() => Err(Failed::NotSent),
@@ -164,6 +183,11 @@
         }
     }
 
+    /// Notes that the answer was read to its end.
+    pub fn settle(&self) {
+        self.is_settled.set(true);
+    }
+
     /// Whether the other end has not closed it.
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed()
@@ -210,6 +234,7 @@
 
     /// Keeps a connection whose answer was read to its end.
     pub fn put(&self, connection: Connection, idle_timeout: Option<Duration>) {
+        connection.settle();
         if connection.sender.is_closed() {
             return;
         }
