--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -16,3 +16,4 @@
 pub mod proof;
 pub mod quota;
 pub mod scheduler;
+pub mod upstream;
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -9,10 +9,11 @@
 use super::backlog::{Backlog, Waiting};
 use super::budget::{Allowance, Budget};
 use super::call::{Call, Ended, Reason};
-use super::fleet::{Choice, Fleet, Listed, Place};
+use super::fleet::{Choice, Fleet};
 use super::gossip::Gossip;
 use super::plan::Plan;
 use super::quota::{Counting, Quota};
+use super::upstream::{Listed, Place};
 use crate::hash::spread;
 use crate::id;
 
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use super::{Action, Audience, Scheduler};
-use crate::entry::fleet::Sight;
 use crate::entry::gossip::{self, Gossip};
+use crate::entry::upstream::Sight;
 use crate::id;
 
 /// The shortest time between two messages to the same peers.
--- /dev/null
+++ b/crates/core/tests/entry/limits.rs
@@ -0,0 +1,173 @@
+//! Routes, quotas and the budget of repeats.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use rosemarypond_core::config::Version;
+use rosemarypond_core::entry::budget::Budget;
+use rosemarypond_core::entry::call::{Call, Reason, Repeat};
+use rosemarypond_core::entry::plan::{Denial, Limit, Limits, Plan, Route, Target, Team};
+use rosemarypond_core::entry::quota::{Counting, Quota};
+use rosemarypond_core::entry::scheduler::Event;
+use rosemarypond_core::unit::Tokens;
+
+use crate::site::{ALLOWANCE, Site, WINDOW, cases, ms, name, refusals};
+
+fn plan(limit: Option<Limit>) -> Plan {
+    let team = Team { id: name("a"), rank: None, quota: limit, plain_cost: 1 };
+    Plan::new(Version(1), Limits::default(), [], [(team, vec!["key".to_owned()])], [])
+}
+
+const LIMIT: Limit = Limit { rate: 100.0, burst: 200.0 };
+
+fn quota(tolerance: f64, joins: bool, now: Instant) -> Quota {
+    let mut quota = Quota::new(Counting { window: WINDOW, tolerance });
+    quota.configure(&plan(Some(LIMIT)), joins, now);
+    quota
+}
+
+/// Asks as fast as it can; gives what was admitted in each tenth of a second.
+fn greedy(quota: &mut Quota, start: Instant, tenths: u64, share: f64) -> Vec<u32> {
+    let team = name("a");
+    let admit = |tenth| {
+        let now = start + ms(100) * tenth as u32;
+        let admitted = std::iter::from_fn(|| quota.admit(&team, Tokens(10), now, share).ok());
+        admitted.count() as u32 * 10
+    };
+    (0..tenths).map(admit).collect()
+}
+
+fn worst_window(admitted: &[u32]) -> u32 {
+    admitted.windows(80).map(|w| w.iter().sum()).max().unwrap_or_default()
+}
+
+fn quota_holds_in_each_window(site: Site) {
+    for tolerance in [0.0, 500.0, 10_000.0] {
+        let mut quota = quota(tolerance, false, site.now);
+        let worst = worst_window(&greedy(&mut quota, site.now, 400, 1.0));
+        assert!(worst <= 1_000, "{worst} with a tolerance of {tolerance}");
+    }
+}
+
+fn quota_around_a_restart_of_all(site: Site) {
+    let tolerance = 400.0;
+    let mut admitted = greedy(&mut quota(tolerance, false, site.now), site.now, 40, 1.0);
+    let restart = site.now + ms(4_000);
+    admitted.extend(greedy(&mut quota(tolerance, true, restart), restart, 80, 1.0));
+    let worst = f64::from(worst_window(&admitted));
+    assert!(worst <= 1_000.0 + tolerance, "{worst}");
+}
+
+fn quota_on_both_sides_of_a_cut(site: Site) {
+    let one = greedy(&mut quota(0.0, false, site.now), site.now, 400, 0.5);
+    let other = greedy(&mut quota(0.0, false, site.now), site.now, 400, 0.5);
+    let both: Vec<_> = one.iter().zip(&other).map(|(a, b)| a + b).collect();
+    // Each side may use the burst that it had at the cut.
+    assert!(worst_window(&both) <= 1_000 + 200);
+}
+
+fn quota_counts_peers(site: Site) {
+    let mut quota = quota(0.0, false, site.now);
+    quota.admitted_elsewhere(&name("a"), 195, site.now);
+    assert!(quota.admit(&name("a"), Tokens(10), site.now, 1.0).is_err());
+    let wait = quota.admit(&name("a"), Tokens(105), site.now, 1.0).expect_err("it is used up");
+    assert!(wait >= ms(990) && wait <= ms(1_010), "{wait:?}");
+}
+
+fn quota_admits_what_exceeds_it_alone(site: Site) {
+    let mut quota = quota(0.0, false, site.now);
+    assert_eq!(quota.admit(&name("a"), Tokens(5_000), site.now, 1.0), Ok(()));
+    assert!(quota.admit(&name("a"), Tokens(1), site.now, 1.0).is_err());
+    let later = site.now + std::time::Duration::from_secs(60);
+    assert_eq!(quota.admit(&name("a"), Tokens(1), later, 1.0), Ok(()));
+}
+
+fn quota_of_peers_reaches_the_scheduler(mut site: Site) {
+    site.list("e1", 4);
+    site.handle(Event::Configured(Arc::new(plan(Some(LIMIT)))));
+    let first = site.gossip("a2", 1);
+    site.handle(Event::Heard(first));
+    let mut second = site.gossip("a2", 2);
+    second.admitted.push((name("a"), 200));
+    site.handle(Event::Heard(second));
+    let call = Call { team: Some(name("a")), cost: Tokens(50), ..site.call(1) };
+    assert_eq!(refusals(&site.arrive(call)), [(1, Reason::Quota)]);
+}
+
+fn budget_over_instances(site: Site) {
+    let service = name("models");
+    let mut total = 0;
+    for _ in 0..7 {
+        let mut budget = Budget::new(ALLOWANCE);
+        for request in 0..100 {
+            budget.requested(&service, site.now + ms(request * 50));
+        }
+        total +=
+            (0..1_000).filter(|place| budget.take(&service, site.now + ms(place * 5), 7)).count();
+    }
+    // 700 requests, a fifth of them and 100 more may be repeated.
+    assert!(total <= 240, "{total} repeats");
+    assert!(total >= 100, "{total} repeats");
+}
+
+fn route(prefix: &str, targets: &[(&str, u32)]) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Once,
+        is_stream: false,
+        timeout: ms(1_000),
+        aim: ms(100),
+        first_patience: ms(1_000),
+        rank: 0,
+        targets: targets
+            .iter()
+            .map(|(service, weight)| Target { service: name(service), weight: *weight })
+            .collect(),
+        max_attempts: 1,
+        is_public: prefix == "/public/",
+    }
+}
+
+fn routes(_site: Site) {
+    let routes = [
+        route("/a/", &[("one", 1)]),
+        route("/a/b/", &[("two", 1)]),
+        route("/public/", &[("one", 1)]),
+    ];
+    let team = Team { id: name("a"), rank: Some(1), quota: None, plain_cost: 1 };
+    let teams = [(team, vec!["key".to_owned()])];
+    let plan = Plan::new(Version(1), Limits::default(), routes, teams, []);
+    let prefix = |path: &str, key| {
+        plan.resolve("A.example:80", path, key).map(|found| found.route.prefix.clone())
+    };
+    assert_eq!(prefix("/a/x", Some("key")), Ok("/a/".to_owned()));
+    assert_eq!(prefix("/a/b/x", Some("key")), Ok("/a/b/".to_owned()));
+    assert_eq!(prefix("/c/", Some("key")), Err(Denial::NoRoute));
+    assert_eq!(prefix("/a", Some("key")), Err(Denial::NoRoute));
+    assert_eq!(prefix("/a/x", Some("other")), Err(Denial::NoTeam));
+    assert_eq!(prefix("/a/x", None), Err(Denial::NoTeam));
+    assert_eq!(prefix("/public/x", None), Ok("/public/".to_owned()));
+    assert!(plan.resolve("b.example", "/a/x", Some("key")).is_err());
+}
+
+fn weights(_site: Site) {
+    let route = route("/a/", &[("one", 90), ("two", 10)]);
+    let two = name("two");
+    let to_two = (0..2_000).filter(|n| route.service_for(&format!("r{n}")) == Some(&two)).count();
+    assert!((140..260).contains(&to_two), "{to_two}");
+    assert_eq!(route.service_for("r1"), route.service_for("r1"));
+}
+
+cases! {
+    quota_is_kept_in_each_window => quota_holds_in_each_window;
+    quota_stays_within_its_tolerance_around_a_restart => quota_around_a_restart_of_all;
+    quota_is_kept_on_both_sides_of_a_cut => quota_on_both_sides_of_a_cut;
+    quota_counts_what_peers_admit => quota_counts_peers;
+    request_beyond_the_quota_runs_alone => quota_admits_what_exceeds_it_alone;
+    quota_of_a_peer_is_heard => quota_of_peers_reaches_the_scheduler;
+    repeats_keep_to_the_budget_over_instances => budget_over_instances;
+    longest_prefix_and_credentials_decide => routes;
+    targets_share_by_weight => weights;
+}
--- /dev/null
+++ b/crates/core/tests/entry/main.rs
@@ -0,0 +1,6 @@
+//! Decisions of an entry instance, on a clock that the tests set.
+
+mod limits;
+mod placement;
+mod random;
+mod site;
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::{Response, http};
 use rosemarypond_core::entry::call::Reason;
-use rosemarypond_core::entry::fleet::Listed;
+use rosemarypond_core::entry::upstream::Listed;
 use rosemarypond_core::unit::Tokens;
 
 /// What the head of a request says.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use rosemarypond_core::entry::call::{Ended, Repeat};
-use rosemarypond_core::entry::fleet::Listed;
+use rosemarypond_core::entry::upstream::Listed;
 use rosemarypond_core::unit::Tokens;
 use tokio::time::sleep_until;
 
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use rosemarypond_core::entry::call::{Call, Ended, Reason};
-use rosemarypond_core::entry::fleet::Listed;
 use rosemarypond_core::entry::gossip::Gossip;
 use rosemarypond_core::entry::node::Node;
 use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler};
+use rosemarypond_core::entry::upstream::Listed;
 use rosemarypond_core::id;
 use stakker::{ActorOwn, Stakker, actor, call, fwd_do, ret_nop};
 use tokio::sync::mpsc;
