--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -82,6 +82,8 @@
     Malformed,
     /// Its body is too long.
     TooLong,
+    /// Its body took too long to come; it did not run.
+    TooSlow,
 }
 
 /// One interface's wording.
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -19,6 +19,7 @@
 use slog::{Logger, info};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
+use tokio::time::timeout;
 
 use crate::clock;
 use crate::dialect::{Dialect, Head, Refusal};
@@ -204,7 +205,8 @@
         let plan = self.plan.borrow().clone();
         let Some(plan) = plan else { return self.turn_down(&head, not_ready(Reason::NoPlan)) };
         // An unread body would leave the connection unusable: it is read first.
-        let body = read_body(body, plan.limits.body_bytes, room).await?;
+        let body = read_body(body, plan.limits.body_bytes, room);
+        let body = timeout(plan.limits.idle_time, body).await.unwrap_or(Err(Refusal::TooSlow))?;
         let found = plan.resolve(&head.host, parts.uri.path(), head.credential.as_deref());
         let found = match found {
             Ok(found) => found,
@@ -236,7 +238,7 @@
             Refusal::NotRun { reason, .. } => reason.as_str(),
             Refusal::NoRoute => "no-route",
             Refusal::NoTeam => "no-team",
-            Refusal::Lost | Refusal::TimedOut | Refusal::Malformed | Refusal::TooLong => "denied",
+            _ => "denied",
         };
         self.metrics.answered(how);
         let age = self.proof.get().age(clock::uptime()).map(|age| age.as_millis() as u64);
