Move a silent request only where it would be taken

Silence alone is no reason to end an answer: the scheduler is asked first whether attempts, budget and room are there.

--- a/crates/core/src/entry/budget.rs
+++ b/crates/core/src/entry/budget.rs
@@ -57,15 +57,20 @@
 
     /// Takes one repeat from the budget, if it has one.
     pub fn take(&mut self, service: &id::Service, now: Instant, instances: usize) -> bool {
+        let is_free = self.has(service, now, instances);
+        if is_free {
+            self.services.entry(service.clone()).or_default().repeats.push_back(now);
+        }
+        is_free
+    }
+
+    /// Whether the budget has a repeat.
+    pub fn has(&mut self, service: &id::Service, now: Instant, instances: usize) -> bool {
         let counts = self.services.entry(service.clone()).or_default();
         forget(&mut counts.requests, now, self.allowance.window);
         forget(&mut counts.repeats, now, self.allowance.window);
         let fixed = self.allowance.fixed / instances.max(1) as f64;
         let most = (self.allowance.ratio * counts.requests.len() as f64 + fixed) * USED_PART;
-        let is_free = ((counts.repeats.len() + 1) as f64) <= most;
-        if is_free {
-            counts.repeats.push_back(now);
-        }
-        is_free
+        ((counts.repeats.len() + 1) as f64) <= most
     }
 }
--- a/crates/core/src/entry/node.rs
+++ b/crates/core/src/entry/node.rs
@@ -29,8 +29,8 @@
     }
 
     /// The scheduler, to be asked.
-    pub fn scheduler(&self) -> &Scheduler {
-        &self.scheduler
+    pub fn scheduler(&mut self) -> &mut Scheduler {
+        &mut self.scheduler
     }
 
     fn tick(&mut self, cx: CX![]) {
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -279,6 +279,21 @@
         }
     }
 
+    /// Whether a request whose upstream is silent would be sent elsewhere at
+    /// once. Silence alone is no reason to end an answer.
+    pub fn may_move(&mut self, now: Instant, id: id::Request) -> bool {
+        let instances = self.instances();
+        let sight = self.sight();
+        let Some(held) = self.held.get(&id) else { return false };
+        let is_allowed = held.call.repeat.may_run_again() && held.sent < held.call.max_attempts;
+        let mut excluded = held.excluded.clone();
+        excluded.extend(held.upstream.clone());
+        let choice = self.fleet.choose(&held.call, &excluded, sight, now);
+        is_allowed
+            && matches!(choice, Choice::Send(..))
+            && self.budget.has(&held.call.service, now, instances)
+    }
+
     /// Sends a request elsewhere where that is allowed, or gives it up.
     fn go_on(&mut self, now: Instant, id: id::Request, how: Ended) {
         let instances = self.instances();
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -18,7 +18,7 @@
 const MAX_WIDE_INSTANCES: usize = 16;
 /// The time between two messages to the peers of other zones, where the state
 /// of upstreams is told within the zone only.
-const FAR_GOSSIP_INTERVAL: Duration = Duration::from_secs(1);
+const FAR_GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
 /// The longest time between two messages to peers.
 const MAX_GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
 /// A peer that was not heard for this long is taken to run nothing.
--- a/crates/core/tests/entry/placement.rs
+++ b/crates/core/tests/entry/placement.rs
@@ -8,6 +8,7 @@
 use rosemarypond_core::entry::pace::Pace;
 use rosemarypond_core::entry::scheduler::{Action, Event};
 use rosemarypond_core::entry::upstream::Listed;
+use rosemarypond_core::id;
 use rosemarypond_core::unit::Tokens;
 
 use crate::site::{Site, WHOLE, cases, listed, ms, name, refusals, sends};
@@ -224,6 +225,20 @@
     assert_eq!(sends(&actions), [(1, "e1".to_owned())]);
 }
 
+fn silent_request_moves_only_to_room(mut site: Site) {
+    site.list("e1", 4);
+    let call = Call { repeat: Repeat::Resumable, max_attempts: 2, ..site.call(1) };
+    site.arrive(call);
+    assert!(!site.scheduler.may_move(site.now, id::Request(1)), "nobody else is there");
+    site.list("e2", 4);
+    assert!(site.scheduler.may_move(site.now, id::Request(1)));
+    assert_eq!(sends(&site.end(1, Ended::Broken)).len(), 1);
+    assert!(!site.scheduler.may_move(site.now, id::Request(1)), "its attempts are used up");
+    let call = site.call(2);
+    site.arrive(call);
+    assert!(!site.scheduler.may_move(site.now, id::Request(2)), "it may run once");
+}
+
 fn left_caller_is_not_sent(mut site: Site) {
     site.list("e1", 1);
     let call = site.call(1);
@@ -251,5 +266,6 @@
     upstream_that_rejects_one_after_the_other_rests => rejecting_upstream_rests;
     slots_that_peers_use_are_taken => peers_fill_slots;
     upstream_with_a_new_life_is_another => new_life_of_an_upstream;
+    silent_request_moves_only_where_it_would_be_taken => silent_request_moves_only_to_room;
     request_whose_caller_left_is_not_sent => left_caller_is_not_sent;
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -30,6 +30,8 @@
 /// The part of the time left after which an idempotent request that has no
 /// answer is sent elsewhere.
 const HEDGE_PART: f64 = 0.45;
+/// How often it is looked whether a silent upstream's request may move.
+const SILENCE_CHECK: Duration = Duration::from_millis(250);
 /// The shortest time without an event after which a resumable stream goes on
 /// elsewhere.
 const MIN_STALL: Duration = Duration::from_millis(1_200);
@@ -118,7 +120,8 @@
                     (upstream, expected)
                 }
             };
-            match self.try_upstream(&upstream, expected, None, &mut caller).await {
+            let tried = self.try_upstream(&upstream, expected, None, &directives, &mut caller);
+            match tried.await {
                 Tried::Whole(response) => {
                     directives.first();
                     let tokens = Tokens(0);
@@ -155,6 +158,7 @@
         upstream: &Listed,
         expected: Duration,
         resume_after: Option<&str>,
+        directives: &Directives,
         caller: &mut Caller,
     ) -> Tried {
         let deadline = self.call.deadline;
@@ -173,12 +177,21 @@
         let request = self.request_for(upstream, resume_after, deadline - started);
         let patience = self.patience(started, expected);
         let may_cancel = self.call.repeat.may_run_again() || self.route.is_stream;
-        let head = tokio::select! {
-            head = connection.send(request) => head,
-            () = caller.left(), if may_cancel => return Tried::Left,
-            () = sleep_until(deadline.into()) => return Tried::TimedOut,
-            () = sleep_until(patience.unwrap_or(deadline).into()), if patience.is_some() => {
-                return self.broken();
+        let head = {
+            let mut head = Box::pin(connection.send(request));
+            let mut silent_at = patience;
+            loop {
+                tokio::select! {
+                    head = head.as_mut() => break head,
+                    () = caller.left(), if may_cancel => return Tried::Left,
+                    () = sleep_until(deadline.into()) => return Tried::TimedOut,
+                    () = sleep_until(silent_at.unwrap_or(deadline).into()),
+                        if silent_at.is_some() => {}
+                }
+                if directives.may_move() {
+                    return self.broken();
+                }
+                silent_at = Some(clock::now() + SILENCE_CHECK);
             }
         };
         let response = match head {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -129,8 +129,13 @@
                 frame = body.frame() => frame,
                 () = sender.closed() => return Part::Left,
                 () = sleep_until(give_up.into()) => {
-                    let is_over = clock::now() >= self.call.deadline;
-                    return if is_over { Part::TimedOut } else { Part::Broken };
+                    if clock::now() >= self.call.deadline {
+                        return Part::TimedOut;
+                    }
+                    if directives.may_move() {
+                        return Part::Broken;
+                    }
+                    continue;
                 }
             };
             match frame {
@@ -184,7 +189,7 @@
             let Directive::Send { upstream, expected, .. } = directive else { return None };
             debug_assert_eq!(self.call.repeat, Repeat::Resumable);
             let last = progress.last.as_deref();
-            match self.try_upstream(&upstream, expected, last, caller).await {
+            match self.try_upstream(&upstream, expected, last, directives, caller).await {
                 Tried::Stream(opened) => return Some((*opened, upstream)),
                 Tried::Again(how, _) => {
                     self.note_failed(&upstream, how);
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -106,7 +106,7 @@
     }
 
     /// Asks the scheduler.
-    pub fn ask<T>(&self, look: impl FnOnce(&Scheduler) -> T) -> Option<T> {
+    pub fn ask<T>(&self, look: impl FnOnce(&mut Scheduler) -> T) -> Option<T> {
         let mut stakker = self.0.stakker.borrow_mut();
         self.0.node.query(&mut stakker, |node, _| look(node.scheduler()))
     }
@@ -167,6 +167,13 @@
         self.handle.event(Event::First(self.id));
     }
 
+    /// Whether the request would be sent elsewhere at once if its upstream
+    /// were given up.
+    pub fn may_move(&self) -> bool {
+        let may_move = self.handle.ask(|s| s.may_move(clock::now(), self.id));
+        may_move.unwrap_or_default()
+    }
+
     /// Notes how a try ended.
     pub fn ended(&mut self, how: Ended) {
         if matches!(how, Ended::Whole { .. } | Ended::Abandoned) {
