--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -15,12 +15,12 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The file cannot be read.
-    #[error("The settings file '{path}' cannot be read: {source}.")]
+    #[error("The settings file '{path}' cannot be read: {reason}.")]
     Io {
         /// The file.
         path: PathBuf,
         /// What went wrong.
-        source: io::Error,
+        reason: io::Error,
     },
     /// A value is not what was expected.
     #[error("{path}:{line}: {message}.")]
@@ -180,7 +180,7 @@
     pub fn load(path: impl AsRef<Path>) -> Result<Self, Error> {
         let path = path.as_ref();
         let text = std::fs::read_to_string(path)
-            .map_err(|source| Error::Io { path: path.to_owned(), source })?;
+            .map_err(|reason| Error::Io { path: path.to_owned(), reason })?;
         Self::parse(path, &text)
     }
 
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -68,3 +68,11 @@
     missing_file => names_a_missing_file();
     command_line => checks_from_the_command_line();
 }
+
+/// The cause of an unreadable file is told once.
+#[test]
+fn unreadable_file_is_explained_once() {
+    let error = Settings::load("no/such/file.json").expect_err("there is no such file");
+    let told = format!("{:#}", eyre::Report::new(error));
+    assert_eq!(told.matches("No such file").count(), 1, "{told}");
+}
