--- a/crates/core/src/entry/gossip.rs
+++ b/crates/core/src/entry/gossip.rs
@@ -18,17 +18,6 @@
     pub pace: Pace,
 }
 
-/// What waits at the sender for one service.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Waiting {
-    /// The service.
-    pub service: id::Service,
-    /// The rank.
-    pub rank: u8,
-    /// How many requests.
-    pub count: u32,
-}
-
 /// The state of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Gossip {
@@ -44,8 +33,6 @@
     pub leaving: bool,
     /// What it runs.
     pub loads: Vec<Load>,
-    /// What waits there.
-    pub waiting: Vec<Waiting>,
     /// What it admitted since its start, a team.
     pub admitted: Vec<(id::Team, u64)>,
 }
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -67,8 +67,6 @@
     Listed(Listed),
     /// The directory no longer lists an upstream.
     Unlisted(id::Upstream),
-    /// An upstream said that it is leaving.
-    Leaving(id::Upstream),
     /// A peer told its state.
     Heard(Gossip),
     /// The instance is to stop; peers are told.
@@ -186,7 +184,6 @@
             Event::Unlisted(upstream) => {
                 self.fleet.remove(&upstream);
             }
-            Event::Leaving(upstream) => self.fleet.set_leaving(&upstream),
             Event::Heard(gossip) => self.heard(now, gossip),
             Event::Stop => self.stop(now),
             Event::Tick => self.tick(now),
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -1,10 +1,10 @@
 //! What peers tell, and what they are told.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use super::{Action, Audience, Scheduler};
-use crate::entry::gossip::{self, Gossip};
+use crate::entry::gossip::Gossip;
 use crate::entry::upstream::Sight;
 use crate::id;
 
@@ -127,7 +127,6 @@
             sequence: self.sequence,
             leaving: self.is_stopping,
             loads: if is_near { self.fleet.loads() } else { vec![] },
-            waiting: if is_near { self.waiting() } else { vec![] },
             admitted: self.quota.admitted().map(|(t, c)| (t.clone(), c)).collect(),
         };
         self.actions.push(Action::Tell { audience, gossip });
@@ -156,13 +155,4 @@
         let is_wide = self.is_wide();
         self.peers.values().filter(|p| is_wide || p.zone == *zone).count()
     }
-
-    fn waiting(&self) -> Vec<gossip::Waiting> {
-        let mut counts: BTreeMap<(id::Service, u8), u32> = BTreeMap::new();
-        for waiting in self.backlog.iter() {
-            *counts.entry((waiting.call.service.clone(), waiting.call.rank)).or_default() += 1;
-        }
-        let waiting = |((service, rank), count)| gossip::Waiting { service, rank, count };
-        counts.into_iter().map(waiting).collect()
-    }
 }
--- a/crates/core/tests/entry/site.rs
+++ b/crates/core/tests/entry/site.rs
@@ -130,7 +130,6 @@
             sequence,
             leaving: false,
             loads: vec![],
-            waiting: vec![],
             admitted: vec![],
         }
     }
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use bytes::BytesMut;
-use rosemarypond_core::entry::gossip::{Gossip, Load, Waiting};
+use rosemarypond_core::entry::gossip::{Gossip, Load};
 use rosemarypond_core::entry::pace::Pace;
 use rosemarypond_core::entry::scheduler::{Audience, Event};
 use rosemarypond_core::id;
@@ -107,11 +107,6 @@
         call_ms: load.pace.call_ms as f32,
         seen: load.pace.seen,
     };
-    let waiting = |w: Waiting| wire::Waiting {
-        service: w.service.into(),
-        rank: u32::from(w.rank),
-        count: w.count,
-    };
     wire::Gossip {
         from: gossip.from.into(),
         incarnation: gossip.incarnation.0,
@@ -119,7 +114,6 @@
         sequence: gossip.sequence,
         leaving: gossip.leaving,
         loads: gossip.loads.into_iter().map(load).collect(),
-        waiting: gossip.waiting.into_iter().map(waiting).collect(),
         admitted: gossip
             .admitted
             .into_iter()
@@ -143,10 +137,6 @@
             load.upstream.parse().ok().filter(|_| is_sound && load.call_ms.is_finite())?;
         Some(Load { upstream, running: load.running, prefill: Tokens(load.prefill), pace })
     };
-    let waiting = |w: wire::Waiting| {
-        let rank = u8::try_from(w.rank).ok()?;
-        Some(Waiting { service: w.service.parse().ok()?, rank, count: w.count })
-    };
     Some(Gossip {
         from: message.from.parse().ok()?,
         incarnation: id::Incarnation(message.incarnation),
@@ -154,7 +144,6 @@
         sequence: message.sequence,
         leaving: message.leaving,
         loads: message.loads.into_iter().filter_map(load).collect(),
-        waiting: message.waiting.into_iter().filter_map(waiting).collect(),
         admitted: message
             .admitted
             .into_iter()
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -119,7 +119,6 @@
     written: Rc<Cell<u64>>,
     /// Whether no request is on it.
     is_settled: Rc<Cell<bool>>,
-    is_kept: bool,
     _driver: Driver,
 }
 
@@ -149,19 +148,7 @@
             // An error shows at the request that it concerns.
             let _ = connection.await;
         });
-        Ok(Self {
-            address,
-            sender,
-            written,
-            is_settled,
-            is_kept: false,
-            _driver: Driver(driver.abort_handle()),
-        })
-    }
-
-    /// Whether the connection carried a request before.
-    pub fn is_kept(&self) -> bool {
-        self.is_kept
+        Ok(Self { address, sender, written, is_settled, _driver: Driver(driver.abort_handle()) })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -204,7 +191,6 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
-    opened: Cell<u64>,
 }
 
 impl Pool {
@@ -216,11 +202,9 @@
     pub async fn take(&self, address: SocketAddr, patience: Duration) -> io::Result<Connection> {
         while let Some(mut connection) = self.take_idle(address) {
             if connection.sender.ready().await.is_ok() {
-                connection.is_kept = true;
                 return Ok(connection);
             }
         }
-        self.opened.set(self.opened.get() + 1);
         Connection::open(address, patience).await
     }
 
@@ -256,9 +240,4 @@
             !kept.is_empty() && is_known(address)
         });
     }
-
-    /// How many connections were opened.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
 }
