Bound what a joining instance grants at once by the tolerance

Ruled out: the age of what other zones tell (0.4 s instead of 1 s changed nothing). The test fails without it (3980 of 3200) and passes with it.

--- a/crates/core/src/entry/quota.rs
+++ b/crates/core/src/entry/quota.rs
@@ -22,6 +22,10 @@
 /// The part of the tolerance that a team may save up beside its burst.
 const SAVED_PART: f64 = 0.5;
 
+/// The part of the tolerance that a team has at once at an instance that
+/// joins.
+const JOINING_PART: f64 = 0.25;
+
 /// What was admitted in the last window.
 #[derive(Clone, Debug)]
 struct Usage {
@@ -64,10 +68,10 @@
         }
     }
 
-    fn assume_rate(&mut self, now: Instant, window: Duration) {
+    fn assume_rate(&mut self, now: Instant, counting: Counting) {
         let cost = self.limit.rate * STEP.as_secs_f64();
-        self.level = self.limit.burst / 2.0;
-        let mut age = window;
+        self.level = (self.limit.burst / 2.0).min(counting.tolerance * JOINING_PART);
+        let mut age = counting.window;
         while age >= STEP {
             if let Some(at) = now.checked_sub(age) {
                 self.steps.push_back((at, cost));
@@ -139,7 +143,7 @@
             let usage = self.usages.entry(team).or_insert_with(|| {
                 let mut usage = Usage::new(limit, counting.capacity(limit), now);
                 if joins {
-                    usage.assume_rate(now, counting.window);
+                    usage.assume_rate(now, counting);
                 }
                 usage
             });
--- a/crates/core/tests/entry/limits.rs
+++ b/crates/core/tests/entry/limits.rs
@@ -49,13 +49,23 @@
     }
 }
 
+/// A small and a large burst, against the rate and the tolerance.
 fn quota_around_a_restart_of_all(site: Site) {
     let tolerance = 400.0;
-    let mut admitted = greedy(&mut quota(tolerance, false, site.now), site.now, 40, 1.0);
-    let restart = site.now + ms(4_000);
-    admitted.extend(greedy(&mut quota(tolerance, true, restart), restart, 80, 1.0));
-    let worst = f64::from(worst_window(&admitted));
-    assert!(worst <= 1_000.0 + tolerance, "{worst}");
+    for burst in [200.0, 2_000.0] {
+        let limit = Limit { burst, ..LIMIT };
+        let new = |joins, now| {
+            let mut quota = Quota::new(Counting { window: WINDOW, tolerance });
+            quota.configure(&plan(Some(limit)), joins, now);
+            quota
+        };
+        let mut admitted = greedy(&mut new(false, site.now), site.now, 40, 1.0);
+        let restart = site.now + ms(4_000);
+        admitted.extend(greedy(&mut new(true, restart), restart, 80, 1.0));
+        let worst = f64::from(worst_window(&admitted));
+        let most = limit.rate * WINDOW.as_secs_f64() + burst + tolerance;
+        assert!(worst <= most, "{worst} of {most} with a burst of {burst}");
+    }
 }
 
 fn quota_on_both_sides_of_a_cut(site: Site) {
