--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -1,10 +1,16 @@
 //! Talks to an instance and tells its refusals apart.
 
+use std::net::ToSocketAddrs;
 use std::time::Duration;
 
+use hyper::{Method, header};
+use rosemarypond::client;
+use rosemarypond_edge::thread::Thread;
 use serde_json::Value;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// The longest answer, in bytes: the rows of many instances.
+const MAX_ANSWER_BYTES: usize = 256 << 20;
 
 /// Why there is no answer.
 #[derive(Debug, thiserror::Error)]
@@ -46,19 +52,23 @@
 ///
 /// Where there is no answer, or it is a refusal.
 pub fn ask(to: &str, path: &str, credential: &str, sentence: &str) -> Result<Value, Error> {
-    let agent = rosemarypond::agent::agent(TIMEOUT);
-    let request = agent.post(format!("http://{to}{path}"));
-    let request = request.header("Authorization", format!("Bearer {credential}"));
-    let lost = |e: ureq::Error| Error::Connection(e.to_string());
-    let mut response = request.send(sentence).map_err(lost)?;
-    let status = response.status().as_u16();
-    let text = response.body_mut().read_to_string().map_err(lost)?;
-    let body: Value = serde_json::from_str(&text)
+    let lost = |e: &dyn std::fmt::Display| Error::Connection(e.to_string());
+    let address = to.to_socket_addrs().map_err(|e| lost(&e))?.next();
+    let address = address.ok_or_else(|| lost(&format!("'{to}' has no address")))?;
+    let request = client::request(Method::POST, address, path, sentence.to_owned());
+    let mut request = request.map_err(|e| lost(&e))?;
+    let bearer = format!("Bearer {credential}").parse();
+    let bearer = bearer.map_err(|_| Error::Usage("The credential is no header value.".into()))?;
+    request.headers_mut().insert(header::AUTHORIZATION, bearer);
+    let thread = Thread::new().map_err(|e| lost(&e))?;
+    let client = client::Client::new(TIMEOUT, MAX_ANSWER_BYTES);
+    let answer = thread.block_on(client.call(address, request)).map_err(|e| lost(&e))?;
+    let body: Value = serde_json::from_slice(&answer.body)
         .map_err(|e| Error::Connection(format!("the answer is no JSON ({e})")))?;
-    if status == 200 {
+    if answer.status == 200 {
         return Ok(body);
     }
-    Err(refusal(status, &body))
+    Err(refusal(answer.status, &body))
 }
 
 fn refusal(status: u16, body: &Value) -> Error {
--- a/crates/daemon/examples/fleet.rs
+++ b/crates/daemon/examples/fleet.rs
@@ -13,6 +13,7 @@
 use clap::{Arg, value_parser};
 use rosemarypond::platform::Client;
 use rosemarypond_core::config::{Document, Kind, Team, Tier, Upstream, Version, digest};
+use rosemarypond_edge::thread::Thread;
 use rosemarypond_standin::platform::Platform;
 use support::Daemon;
 
@@ -100,7 +101,8 @@
     let platform = Platform::start()?;
     let client = Client::new(platform.address);
     let mut document = document(get("teams"), get("upstreams"))?;
-    let mut version = client.put_config(Version(0), &document, "fleet")?;
+    let thread = Thread::new()?;
+    let mut version = thread.block_on(client.put_config(Version(0), &document, "fleet"))?;
     let zones = (0..get("daemons")).map(|_| 0).chain(1..=get("far"));
     let daemons: Vec<_> = zones
         .enumerate()
@@ -135,7 +137,7 @@
     );
     for turn in 0..CHANGES {
         document.teams[turn].credential_sha256 = digest(format!("new-{turn}"));
-        version = client.put_config(version, &document, "fleet")?;
+        version = thread.block_on(client.put_config(version, &document, "fleet"))?;
         println!(
             "  version {version} in force on all after {:.2} s",
             wait_for(&daemons, version).as_secs_f64()
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,41 +1,70 @@
 //! Starts the parts of the daemon and ends them in order.
 
+use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex};
+use std::rc::Rc;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use eyre::Context as _;
-use rand::Rng as _;
+use eyre::{Context as _, eyre};
 use rosemarypond_core::engine::Sharing;
+use rosemarypond_core::entry::plan::Limits;
 use rosemarypond_core::event::Event;
 use rosemarypond_core::id::Incarnation;
 use rosemarypond_core::instance::{Identity, Options};
-use rosemarypond_core::member;
-use signal_hook::consts::{SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
-use slog::{Logger, info, warn};
-use socket2::{Domain, Socket, Type};
+use rosemarypond_edge::server::{self, Phase};
+use rosemarypond_edge::socket::{self, Watch};
+use rosemarypond_edge::thread::Thread;
+use slog::{Logger, info};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep, timeout};
 
+use crate::follow::Follower;
 use crate::gateway::Gateway;
 use crate::operate::Operate;
 use crate::peer::{self, Links, Traffic};
 use crate::platform::{Client, Listed};
-use crate::runtime::{Border, Handle, Runtime};
+use crate::runtime::{Border, Handle};
 use crate::settings::Settings;
-use crate::watch;
+use crate::upstream::Upstreams;
 
-/// A running daemon.
+/// How long the last answers may take to leave.
+const LAST_ANSWERS: Duration = Duration::from_secs(5);
+/// How often it is looked whether all connections have ended.
+const CLOSE_CHECK: Duration = Duration::from_millis(5);
+/// How often kept connections are looked at.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// The longest head that is read, in bytes; a longer path has an answer of its
+/// own.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// The most connections of callers at once.
+const MAX_CONNECTIONS: usize = 16_384;
+/// A caller's connection on which nothing moves for this long is probed.
+pub const KEEPALIVE: Duration = Duration::from_secs(10);
+/// Data that a caller does not acknowledge for this long ends its connection.
+pub const USER_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// A daemon that has its addresses and does not run yet.
+struct Bound {
+    settings: Settings,
+    http: TcpListener,
+    peer: TcpListener,
+    own: Listed,
+    logger: Logger,
+}
+
+/// A daemon that runs in a thread of this process.
+#[derive(Debug)]
 pub struct Daemon {
     /// Where callers and operators reach it.
     pub http: SocketAddr,
     /// Where peers reach it.
     pub peer: SocketAddr,
-    /// Talks to its decisions.
-    pub handle: Handle,
-    runtime: Runtime,
-    gateway: Arc<Gateway>,
-    logger: Logger,
+    drain: watch::Sender<bool>,
+    thread: thread::JoinHandle<eyre::Result<()>>,
 }
 
 impl Daemon {
@@ -45,6 +74,75 @@
     ///
     /// Where an address cannot be bound or the system gives no thread.
     pub fn start(settings: Settings, logger: Logger) -> eyre::Result<Self> {
+        let bound = Bound::new(settings, logger)?;
+        let (http, peer) = (bound.own.http, bound.own.peer);
+        let (drain, mut asked) = watch::channel(false);
+        let work = move || {
+            let is_asked = async move {
+                if asked.wait_for(|is_asked| *is_asked).await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            };
+            Thread::new()?.block_on(bound.run(is_asked))
+        };
+        let thread = thread::Builder::new().name("daemon".into()).spawn(work)?;
+        Ok(Self { http, peer, drain, thread })
+    }
+
+    /// Waits until the instance was drained and its callers have their answers.
+    ///
+    /// # Errors
+    ///
+    /// Where it could not run, or an invariant was broken.
+    pub fn drain(self) -> eyre::Result<()> {
+        self.drain.send_replace(true);
+        let ended = self.thread.join();
+        ended.map_err(|_| eyre!("The daemon stopped at a broken invariant."))?
+    }
+}
+
+/// Runs a daemon in this thread: prints its addresses, and ends after a signal
+/// as soon as nothing runs any more.
+///
+/// # Errors
+///
+/// Where an address cannot be bound or signals cannot be taken.
+pub fn run(settings: Settings, logger: Logger) -> eyre::Result<()> {
+    stop_at_panics();
+    let bound = Bound::new(settings, logger)?;
+    Thread::new()?.block_on(async {
+        // Whoever reads the addresses may ask for a drain at once.
+        let mut terminate = signal(SignalKind::terminate()).wrap_err(NO_SIGNALS)?;
+        let mut interrupt = signal(SignalKind::interrupt()).wrap_err(NO_SIGNALS)?;
+        println!("http {} peer {}", bound.own.http, bound.own.peer);
+        let logger = bound.logger.clone();
+        bound
+            .run(async move {
+                let name = tokio::select! {
+                    _ = terminate.recv() => "SIGTERM",
+                    _ = interrupt.recv() => "SIGINT",
+                };
+                info!(logger, "draining"; "signal" => name);
+            })
+            .await
+    })
+}
+
+/// Ends the process at a broken invariant, in whichever task it shows.
+fn stop_at_panics() {
+    let tell = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        tell(panic);
+        std::process::exit(EXIT_BROKEN);
+    }));
+}
+
+/// The exit status at a broken invariant.
+const EXIT_BROKEN: i32 = 1;
+const NO_SIGNALS: &str = "Signals cannot be taken";
+
+impl Bound {
+    fn new(settings: Settings, logger: Logger) -> eyre::Result<Self> {
         let logger = logger.new(slog::o!(
             "instance" => settings.instance.to_string(),
             "zone" => settings.zone.to_string(),
@@ -57,96 +155,110 @@
             http: http.local_addr()?,
             peer: peer.local_addr()?,
         };
-        let traffic = Arc::new(Traffic::default());
-        let links = Links::new(Arc::clone(&traffic));
+        Ok(Self { settings, http, peer, own, logger })
+    }
+
+    /// Runs until it is told to drain and everything has ended.
+    async fn run(self, drain: impl Future<Output = ()> + 'static) -> eyre::Result<()> {
+        let Self { settings, http, peer, own, logger } = self;
+        let traffic = Rc::new(Traffic::default());
+        let links = Links::new(traffic.clone());
         let platform = Client::new(settings.platform);
         let border =
             Border { platform: platform.clone(), links: links.clone(), logger: logger.clone() };
-        let runtime = Runtime::start(options(&settings), border)?;
-        let handle = runtime.handle.clone();
-        let hand_over = handle.clone();
-        let hear = move |message| hand_over.event(Event::Heard(message));
-        peer::listen(peer, own.zone.clone(), Arc::clone(&traffic), hear);
-        let listed = Arc::new(Mutex::new(Vec::new()));
+        let handle = Handle::start(options(&settings), border);
+        let listed = Rc::new(RefCell::new(Vec::new()));
         let operate = Operate::new(
             handle.clone(),
             platform.clone(),
             own.clone(),
-            Arc::clone(&listed),
-            traffic,
+            listed.clone(),
+            traffic.clone(),
         );
         let poll = settings.poll.0;
-        let gateway = Arc::new(Gateway::new(handle.clone(), settings, operate));
-        Arc::clone(&gateway).serve(http)?;
+        let idle = settings.idle.0;
+        let gateway = Rc::new(Gateway::new(handle.clone(), settings, operate));
+        let front = serve(http, gateway.clone(), idle)?;
+        let hear = handle.clone();
+        let hear = move |message| hear.event(Event::Heard(message));
+        let peers = tokio::net::TcpListener::from_std(peer)?;
+        spawn_local(peer::listen(peers, own.zone.clone(), traffic, hear));
+        info!(logger, "started"; "http" => own.http.to_string(), "peer" => own.peer.to_string());
         let follower = Follower {
             platform,
             handle: handle.clone(),
             links,
             listed,
-            own: own.clone(),
+            own,
             logger: logger.clone(),
             is_up: true,
         };
-        thread::Builder::new().name("follow".into()).spawn(move || follower.run(poll))?;
-        watch::start(handle.clone())?;
-        info!(logger, "started"; "http" => own.http.to_string(), "peer" => own.peer.to_string());
-        Ok(Self { http: own.http, peer: own.peer, handle, runtime, gateway, logger })
+        spawn_local(follower.run(poll));
+        spawn_local(crate::watch::follow(handle.clone()));
+        spawn_local(sweep(gateway.upstreams.clone()));
+        let timers = handle.clone();
+        spawn_local(async move { timers.run_timers().await });
+        let drained = handle.clone();
+        spawn_local(async move {
+            drain.await;
+            drained.event(Event::Drain);
+        });
+        handle.drained().await;
+        front.close().await;
+        info!(logger, "stopped");
+        Ok(())
     }
+}
 
-    /// Prints the addresses, and runs until a signal asks for a drain and
-    /// nothing runs any more.
-    ///
-    /// # Errors
-    ///
-    /// Where signals cannot be taken or an invariant was broken.
-    pub fn run_until_drained(self) -> eyre::Result<()> {
-        // Whoever reads the addresses may ask for a drain at once.
-        let mut signals = Signals::new([SIGINT, SIGTERM]).wrap_err("Signals cannot be taken")?;
-        println!("http {} peer {}", self.http, self.peer);
-        let (handle, logger) = (self.handle.clone(), self.logger.clone());
-        thread::spawn(move || {
-            for signal in signals.forever() {
-                info!(logger, "draining"; "signal" => signal);
-                handle.event(Event::Drain);
+/// The server for callers, as far as its end is concerned.
+struct Front {
+    phase: watch::Sender<Phase>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Front {
+    /// Lets the last answers leave, and ends all connections.
+    async fn close(self) {
+        self.phase.send_replace(Phase::Closing);
+        let closed = timeout(LAST_ANSWERS, async {
+            while self.open.get() > 0 {
+                sleep(CLOSE_CHECK).await;
             }
         });
-        self.join()
-    }
-
-    /// Waits until the instance was drained and its callers have their answers.
-    ///
-    /// # Errors
-    ///
-    /// Where an invariant was broken.
-    pub fn join(self) -> eyre::Result<()> {
-        self.runtime.join()?;
-        let end = Instant::now() + LAST_ANSWERS;
-        while self.gateway.active.load(std::sync::atomic::Ordering::Relaxed) > 0
-            && Instant::now() < end
-        {
-            thread::sleep(Duration::from_millis(5));
-        }
-        info!(self.logger, "stopped");
-        Ok(())
+        // What is not taken until then is lost with its connection.
+        let _ = closed.await;
     }
 }
 
-/// How long the last answers may take to leave.
-const LAST_ANSWERS: Duration = Duration::from_secs(5);
-
-/// How many connections wait to be accepted; bursts of callers come at once.
-const BACKLOG: i32 = 4_096;
+fn serve(http: TcpListener, gateway: Rc<Gateway>, idle: Duration) -> eyre::Result<Front> {
+    let front = Front { phase: watch::channel(Phase::Serving).0, open: Rc::default() };
+    let limits = Limits { head_bytes: MAX_HEAD_BYTES, idle_time: idle, ..Limits::default() };
+    let options = server::Options {
+        max_connections: MAX_CONNECTIONS,
+        watch: Watch {
+            probe_after: KEEPALIVE,
+            probe_interval: KEEPALIVE / 2,
+            unacknowledged: USER_TIMEOUT,
+        },
+        limits: Box::new(move || limits),
+        phase: front.phase.subscribe(),
+        open: front.open.clone(),
+    };
+    let listener = tokio::net::TcpListener::from_std(http)?;
+    spawn_local(server::serve(listener, options, move |request| gateway.clone().serve(request)));
+    Ok(front)
+}
 
-fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
-    listen(address).wrap_err_with(|| format!("The address {address} cannot be bound"))
+async fn sweep(upstreams: Upstreams) {
+    let mut ticks = interval(SWEEP_INTERVAL);
+    loop {
+        ticks.tick().await;
+        upstreams.sweep();
+    }
 }
 
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
+fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    socket::bind(address).wrap_err_with(|| format!("The address {address} cannot be bound"))
 }
 
 fn options(settings: &Settings) -> Options {
@@ -166,73 +278,3 @@
         sharing: Sharing::Lent,
     }
 }
-
-/// Every so many rounds the list of instances is read: at 410 instances it is
-/// long, and heartbeats tell of failures sooner.
-const ROUNDS_PER_LIST: u64 = 10;
-/// So many rounds after its start an instance reads the list in each.
-const EAGER_ROUNDS: u64 = 10;
-
-/// Follows the platform's configuration and its list of instances.
-struct Follower {
-    platform: Client,
-    handle: Handle,
-    links: Links,
-    listed: Arc<Mutex<Vec<Listed>>>,
-    own: Listed,
-    logger: Logger,
-    is_up: bool,
-}
-
-impl Follower {
-    fn run(mut self, poll: Duration) {
-        let mut announced = false;
-        for round in 0u64.. {
-            announced = announced || self.platform.announce(&self.own).is_ok();
-            let mut is_up = self.follow_config();
-            // Soon after a start the list does not yet show what started too.
-            if round < EAGER_ROUNDS || round.is_multiple_of(ROUNDS_PER_LIST) {
-                is_up &= self.follow_list();
-            }
-            self.note_platform(is_up);
-            // Instances that were started together spread out.
-            thread::sleep(poll.mul_f64(rand::rng().random_range(0.75..1.25)));
-        }
-    }
-
-    fn follow_config(&self) -> bool {
-        let Some(known) = self.handle.ask(|instance, _| instance.config().0) else { return true };
-        match self.platform.config_above(known) {
-            Ok(Some((version, document))) => {
-                let document = Arc::new(document);
-                self.handle.event(Event::Configured { version, document });
-                true
-            }
-            Ok(None) => true,
-            Err(e) => {
-                slog::debug!(self.logger, "no configuration"; "error" => e.to_string());
-                false
-            }
-        }
-    }
-
-    fn follow_list(&self) -> bool {
-        let Ok(list) = self.platform.instances() else { return false };
-        let peers =
-            member::select(&self.own.instance, &self.own.zone, &list, |l| (&l.instance, &l.zone));
-        self.links.set_peers(&self.own.zone, peers);
-        *self.listed.lock().expect("no holder panics") = list;
-        true
-    }
-
-    fn note_platform(&mut self, is_up: bool) {
-        if self.is_up != is_up {
-            self.is_up = is_up;
-            if is_up {
-                info!(self.logger, "platform is back");
-            } else {
-                warn!(self.logger, "platform gives no answer");
-            }
-        }
-    }
-}
--- a/crates/daemon/src/gateway/intake.rs
+++ b/crates/daemon/src/gateway/intake.rs
@@ -1,17 +1,20 @@
 //! From an HTTP request to what the scheduler needs to know of it.
 
-use std::io::Read;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, header, http};
 use rosemarypond_core::config::{Document, Kind, Rule, Team, fingerprint};
 use rosemarypond_core::engine::BLOCK_TOKENS;
 use rosemarypond_core::hash::spread;
 use rosemarypond_core::id;
 use rosemarypond_core::request::{Key, Repeat, Request};
 use rosemarypond_core::unit::Tokens;
+use rosemarypond_edge::clock;
 use serde_json::Value;
 
-use super::{MAX_URL_BYTES, Problem, credential, header};
+use super::{MAX_URL_BYTES, Problem};
+use crate::head::{credential, text};
 use crate::upstream::Call;
 
 /// The longest accepted idempotency key, in bytes.
@@ -37,21 +40,21 @@
 ///
 /// Gives the problem that the caller is to be told.
 pub fn read(
-    http: &mut tiny_http::Request,
+    parts: &http::request::Parts,
+    body: Bytes,
     id: id::Request,
     document: &Document,
-    max_body: u64,
 ) -> Result<Intake, Problem> {
-    if http.url().len() > MAX_URL_BYTES {
+    let (headers, path) = (&parts.headers, parts.uri.path());
+    let url = parts.uri.path_and_query().map_or(path, |url| url.as_str());
+    if url.len() > MAX_URL_BYTES {
         return Err(Problem::bad(414, format!("The URL is longer than {MAX_URL_BYTES} bytes.")));
     }
-    let team = team_of(http, document)?;
-    let path = http.url().split('?').next().unwrap_or_default();
+    let team = team_of(headers, document)?;
     let no_rule = || Problem::bad(404, format!("No rule covers the path '{path}'."));
     let rule = document.rule(path).ok_or_else(no_rule)?;
-    let key = key_of(http)?;
-    let body = body_of(http, max_body)?;
-    let repeat = repeat_of(http, rule, team, key.as_deref(), &body);
+    let key = key_of(headers)?;
+    let repeat = repeat_of(&parts.method, url, rule, team, key.as_deref(), &body);
     let tier_id = rule.tier.as_ref().unwrap_or(&team.tier);
     let rank = document.rank(tier_id).expect("a checked document names only its tiers");
     let tier = &document.tiers[usize::from(rank)];
@@ -63,7 +66,7 @@
     } else {
         Shape::default()
     };
-    let now = Instant::now();
+    let now = clock::now();
     let request = Request {
         id,
         team: team.id.clone(),
@@ -79,9 +82,9 @@
     };
     let call = Call {
         id,
-        method: http.method().to_string(),
-        path: http.url().to_owned(),
-        content_type: header(http, "Content-Type"),
+        method: parts.method.clone(),
+        path: url.to_owned(),
+        content_type: text(headers, header::CONTENT_TYPE).map(str::to_owned),
         key: key.map(|key| format!("\"{key}\"")),
         body,
         streams: shape.streams,
@@ -96,14 +99,14 @@
 /// # Errors
 ///
 /// Where there is none or it is not known.
-pub fn team_of<'a>(http: &tiny_http::Request, document: &'a Document) -> Result<&'a Team, Problem> {
+pub fn team_of<'a>(headers: &HeaderMap, document: &'a Document) -> Result<&'a Team, Problem> {
     let unknown = || Problem::bad(401, "A known credential is needed: 'Authorization: Bearer …'.");
-    let credential = credential(http).ok_or_else(unknown)?;
+    let credential = credential(headers).ok_or_else(unknown)?;
     document.team(credential).ok_or_else(unknown)
 }
 
-fn key_of(http: &tiny_http::Request) -> Result<Option<String>, Problem> {
-    let Some(value) = header(http, "Idempotency-Key") else { return Ok(None) };
+fn key_of(headers: &HeaderMap) -> Result<Option<String>, Problem> {
+    let Some(value) = text(headers, "Idempotency-Key") else { return Ok(None) };
     let trimmed = value.trim();
     let key = trimmed.strip_prefix('"').and_then(|v| v.strip_suffix('"')).unwrap_or(trimmed);
     let printable = key.chars().all(|c| c.is_ascii_graphic() && c != '"' && c != '\\');
@@ -114,30 +117,20 @@
     Ok(Some(key.to_owned()))
 }
 
-fn body_of(http: &mut tiny_http::Request, max_body: u64) -> Result<Vec<u8>, Problem> {
-    let too_long = || Problem::bad(413, format!("The body is longer than {max_body} bytes."));
-    if http.body_length().is_some_and(|length| length as u64 > max_body) {
-        return Err(too_long());
-    }
-    let mut body = Vec::new();
-    let read = http.as_reader().take(max_body + 1).read_to_end(&mut body);
-    read.map_err(|e| Problem::bad(400, format!("The body broke off: {e}.")))?;
-    if body.len() as u64 > max_body { Err(too_long()) } else { Ok(body) }
-}
-
 fn repeat_of(
-    http: &tiny_http::Request,
+    method: &Method,
+    url: &str,
     rule: &Rule,
     team: &Team,
     key: Option<&str>,
     body: &[u8],
 ) -> Repeat {
-    let is_safe = matches!(http.method().as_str(), "GET" | "HEAD");
+    let is_safe = matches!(method.as_str(), "GET" | "HEAD");
     if rule.idempotent.unwrap_or(is_safe) {
         return Repeat::Idempotent;
     }
     let Some(key) = key else { return Repeat::Once };
-    let fingerprint = fingerprint([http.method().as_str().as_bytes(), http.url().as_bytes(), body]);
+    let fingerprint = fingerprint([method.as_str().as_bytes(), url.as_bytes(), body]);
     Repeat::Keyed(Key { team: team.id.clone(), text: key.to_owned(), fingerprint })
 }
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,81 +1,62 @@
 //! The callers' interface: HTTP in, one answer out.
 
-mod call;
+mod held;
 mod intake;
 mod problem;
-mod reaper;
-mod stream;
+mod resumed;
 
-use std::net::TcpListener;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::thread;
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
-use eyre::{Context as _, eyre};
-use rosemarypond_core::claim::Verdict;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use hyper::{Request, Response, http};
 use rosemarypond_core::id;
 use rosemarypond_core::outcome::{Outcome, Reason};
-use socket2::{SockRef, TcpKeepalive};
-use tiny_http::{Header, Request, Response, Server};
+use rosemarypond_edge::reply::{self, Reply};
+use tokio::time::timeout;
 
-use crate::operate::Operate;
+use crate::answer::Answer;
+use crate::head;
+use crate::operate::{COMMAND_PATH, MAX_SENTENCE_BYTES, Operate, QUERY_PATH};
 use crate::runtime::Handle;
 use crate::settings::Settings;
-use crate::upstream::{Agents, Answer, Piece, Target};
+use crate::upstream::Upstreams;
 
 pub use problem::Problem;
 
-/// A caller's connection on which nothing moves for this long is probed.
-pub const KEEPALIVE: Duration = Duration::from_secs(10);
-/// Data that a caller does not acknowledge for this long ends its connection.
-pub const USER_TIMEOUT: Duration = Duration::from_secs(15);
 /// The longest path and query that are accepted, in bytes.
 pub const MAX_URL_BYTES: usize = 8 * 1024;
 
 /// When a caller may come back whose request was not read.
 const UNREAD_RETRY_AFTER: Duration = Duration::from_secs(1);
-const STACK_BYTES: usize = 256 * 1024;
-
-/// What becomes of a request, told to the thread that holds its caller.
-#[derive(Clone, Debug)]
-pub enum Note {
-    /// It goes to this upstream.
-    Dispatch(Target),
-    /// Its upstream sent something.
-    Piece {
-        /// The try that it is from.
-        attempt: u32,
-        /// What it is.
-        piece: Piece,
-    },
-    /// Its upstream's work is to be stopped.
-    Cancel,
-    /// Its caller's final answer.
-    Verdict {
-        /// The answer.
-        verdict: Verdict,
-        /// When a refused caller may come back.
-        retry_after: Duration,
-        /// The answer that is kept under its key.
-        replay: Option<Answer>,
-    },
-}
+/// How much of a body that nobody wants is read for its caller's sake, in
+/// multiples of the longest body that is accepted.
+const UNWANTED_BODIES: u64 = 4;
 
-/// What the threads of the gateway share.
+/// Answers callers and operators.
 pub struct Gateway {
     /// Talks to the decisions.
     pub handle: Handle,
     /// Calls upstreams.
-    pub agents: Agents,
+    pub upstreams: Upstreams,
     /// The settings.
     pub settings: Settings,
     /// Answers operators.
     pub operate: Operate,
-    /// How many requests are held.
-    pub active: AtomicUsize,
-    served: reaper::Served,
-    next_request: AtomicU64,
+    held: Rc<Cell<usize>>,
+    next_request: Cell<u64>,
+}
+
+/// A place among the requests that are held at once.
+struct Place(Rc<Cell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl Gateway {
@@ -83,118 +64,112 @@
     pub fn new(handle: Handle, settings: Settings, operate: Operate) -> Self {
         Self {
             handle,
-            agents: Agents::default(),
+            upstreams: Upstreams::default(),
             settings,
             operate,
-            active: AtomicUsize::new(0),
-            served: reaper::Served::default(),
-            next_request: AtomicU64::new(rand::random()),
+            held: Rc::default(),
+            next_request: Cell::new(rand::random()),
         }
     }
 
-    /// A request id that no other instance is likely to give.
-    fn next_id(&self) -> id::Request {
-        id::Request(self.next_request.fetch_add(1, Ordering::Relaxed))
-    }
-
-    /// Serves callers until the process ends.
-    ///
-    /// # Errors
-    ///
-    /// Where the socket does not take its options.
-    pub fn serve(self: Arc<Self>, listener: TcpListener) -> eyre::Result<()> {
-        set_options(&listener).wrap_err("The HTTP socket does not take its options")?;
-        reaper::start(listener.local_addr()?, self.settings.idle.0, self.served.clone())?;
-        let server = Server::from_listener(listener, None)
-            .map_err(|e| eyre!("The HTTP server cannot start: {e}."))?;
-        thread::Builder::new().name("http".into()).spawn(move || {
-            for request in server.incoming_requests() {
-                self.take(request);
+    /// Answers a request.
+    pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Response<Reply> {
+        let (parts, body) = request.into_parts();
+        let Some(place) = self.place() else {
+            self.discard(body).await;
+            return refuse_unread(&parts, Reason::Overload).into();
+        };
+        match parts.uri.path() {
+            "/healthz" => whole(Answer::new(200, "text/plain", "alive\n")),
+            "/readyz" => whole(self.ready()),
+            "/metrics" => {
+                whole(Answer::new(200, "text/plain; version=0.0.4", self.operate.metrics()))
             }
-        })?;
-        Ok(())
+            QUERY_PATH | COMMAND_PATH => match self.read(body, MAX_SENTENCE_BYTES as u64).await {
+                Ok(sentence) => {
+                    whole(self.operate.serve(&parts.uri, &parts.headers, &sentence).await)
+                }
+                Err(problem) => problem.into(),
+            },
+            "/v1/resume" => resumed::serve(&self, &parts, place).await,
+            _ => held::serve(self, parts, body, place).await,
+        }
     }
 
-    fn take(self: &Arc<Self>, request: Request) {
-        let held = self.active.fetch_add(1, Ordering::Relaxed);
-        if held >= self.settings.max_requests as usize {
-            self.active.fetch_sub(1, Ordering::Relaxed);
-            refuse_unread(request, Reason::Overload);
-            return;
-        }
-        let gateway = Arc::clone(self);
-        let work = move || {
-            gateway.route(request);
-            gateway.active.fetch_sub(1, Ordering::Relaxed);
-        };
-        if thread::Builder::new().stack_size(STACK_BYTES).spawn(work).is_err() {
-            self.active.fetch_sub(1, Ordering::Relaxed);
+    fn place(&self) -> Option<Place> {
+        if self.held.get() >= self.settings.max_requests as usize {
+            return None;
         }
+        self.held.set(self.held.get() + 1);
+        Some(Place(self.held.clone()))
     }
 
-    fn route(&self, request: Request) {
-        let path = request.url().split('?').next().unwrap_or_default().to_owned();
-        match path.as_str() {
-            "/healthz" => reply(request, 200, "text/plain", "alive\n"),
-            "/readyz" => self.ready(request),
-            "/metrics" => reply(request, 200, "text/plain; version=0.0.4", self.operate.metrics()),
-            "/operator/query" | "/operator/command" => self.operate.serve(request),
-            "/v1/resume" => call::resume(self, request),
-            _ => call::serve(self, request),
-        }
+    /// A request id that no other instance is likely to give.
+    fn next_id(&self) -> id::Request {
+        let id = self.next_request.get();
+        self.next_request.set(id.wrapping_add(1));
+        id::Request(id)
     }
 
-    fn ready(&self, request: Request) {
-        let is_ready = self.handle.ask(|instance, _| instance.is_ready()).unwrap_or(false);
-        if is_ready {
-            reply(request, 200, "text/plain", "ready\n");
+    fn ready(&self) -> Answer {
+        if self.handle.ask(|instance, _| instance.is_ready()).unwrap_or(false) {
+            Answer::new(200, "text/plain", "ready\n")
         } else {
-            reply(request, 503, "text/plain", "not ready\n");
+            Answer::new(503, "text/plain", "not ready\n")
         }
     }
-}
 
-/// The accepted sockets inherit these from the listening one.
-fn set_options(listener: &TcpListener) -> std::io::Result<()> {
-    let socket = SockRef::from(listener);
-    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE / 2);
-    socket.set_tcp_keepalive(&keepalive.with_retries(2))?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    socket.set_write_timeout(Some(USER_TIMEOUT))?;
-    socket.set_tcp_nodelay(true)
-}
+    /// Reads a whole body of `max_bytes` at most.
+    async fn read(&self, mut body: Incoming, max_bytes: u64) -> Result<Bytes, Problem> {
+        let mut whole = BytesMut::new();
+        let read = timeout(self.settings.idle.0, async {
+            let mut is_long = body.size_hint().lower() > max_bytes;
+            while !is_long && let Some(frame) = body.frame().await {
+                let frame = frame.map_err(|e| broken_off(&e))?;
+                if let Ok(bytes) = frame.into_data() {
+                    is_long = (whole.len() + bytes.len()) as u64 > max_bytes;
+                    whole.extend_from_slice(&bytes);
+                }
+            }
+            Ok(is_long)
+        });
+        let is_long = read.await.unwrap_or_else(|_| Err(broken_off("it took too long")))?;
+        if is_long {
+            // A caller that still sends would not read its answer.
+            self.discard(body).await;
+            return Err(Problem::bad(413, format!("The body is longer than {max_bytes} bytes.")));
+        }
+        Ok(whole.freeze())
+    }
 
-/// Refuses a request before it was read. Without a key this one try is all
-/// there is, so it did not run; with one, another try may have.
-pub(crate) fn refuse_unread(request: Request, reason: Reason) {
-    let keyed = header(&request, "Idempotency-Key").is_some();
-    let outcome = if keyed { Outcome::Unknown } else { Outcome::NotRun };
-    Problem::refused(None, outcome, reason, UNREAD_RETRY_AFTER).send(request);
+    async fn discard(&self, mut body: Incoming) {
+        let mut left = self.settings.max_body.0.saturating_mul(UNWANTED_BODIES);
+        let read = timeout(self.settings.idle.0, async {
+            while let Some(Ok(frame)) = body.frame().await {
+                let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
+                if bytes > left {
+                    return;
+                }
+                left -= bytes;
+            }
+        });
+        // What is left of it ends with the connection.
+        let _ = read.await;
+    }
 }
 
-/// Answers with a whole body.
-pub(crate) fn reply(
-    request: Request,
-    status: u16,
-    content_type: impl AsRef<[u8]>,
-    body: impl Into<Vec<u8>>,
-) {
-    let mut response = Response::from_data(body).with_status_code(status);
-    if let Ok(header) = Header::from_bytes("Content-Type", content_type.as_ref()) {
-        response.add_header(header);
-    }
-    // The caller may have left.
-    let _ = request.respond(response);
+fn broken_off(why: impl std::fmt::Display) -> Problem {
+    Problem::bad(400, format!("The body broke off: {why}."))
 }
 
-/// The value of a header.
-pub(crate) fn header(request: &Request, name: &'static str) -> Option<String> {
-    let found = request.headers().iter().find(|h| h.field.equiv(name))?;
-    Some(found.value.as_str().to_owned())
+fn whole(answer: Answer) -> Response<Reply> {
+    reply::whole(answer.into_response())
 }
 
-/// The credential that a caller presents.
-pub(crate) fn credential(request: &Request) -> Option<String> {
-    let value = header(request, "Authorization")?;
-    Some(value.strip_prefix("Bearer ")?.trim().to_owned())
+/// Refuses a request that was not looked at. Without a key this one try is all
+/// there is, so it did not run; with one, another try may have.
+fn refuse_unread(parts: &http::request::Parts, reason: Reason) -> Problem {
+    let keyed = head::text(&parts.headers, "Idempotency-Key").is_some();
+    let outcome = if keyed { Outcome::Unknown } else { Outcome::NotRun };
+    Problem::refused(None, outcome, reason, UNREAD_RETRY_AFTER)
 }
--- a/crates/daemon/src/gateway/problem.rs
+++ b/crates/daemon/src/gateway/problem.rs
@@ -2,10 +2,16 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use hyper::{Response, header};
 use rosemarypond_core::id;
 use rosemarypond_core::outcome::{Outcome, Reason};
+use rosemarypond_edge::reply::{self, Reply};
 use serde::Serialize;
-use tiny_http::{Header, Request, Response};
+
+use super::held::REQUEST_ID;
+use crate::answer::Answer;
 
 /// A refusal as a caller reads it.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
@@ -67,23 +73,33 @@
         serde_json::to_string(self).expect("a problem is plain data")
     }
 
-    /// Answers with the problem.
-    pub fn send(&self, request: Request) {
-        let mut response = Response::from_string(self.json()).with_status_code(self.status);
-        let mut add = |name: &str, value: &str| {
-            if let Ok(header) = Header::from_bytes(name, value) {
-                response.add_header(header);
+    /// The problem as the last event of a stream.
+    pub fn event(&self) -> Bytes {
+        format!("event: error\ndata: {}\n\n", self.json()).into()
+    }
+
+    /// The same problem with the request that it is of.
+    pub fn with_request(self, request: id::Request) -> Self {
+        Self { request: Some(request.to_string()), ..self }
+    }
+}
+
+impl From<Problem> for Response<Reply> {
+    fn from(problem: Problem) -> Self {
+        let answer = Answer::new(problem.status, "application/problem+json", problem.json());
+        let mut response = answer.into_response();
+        let mut add = |name, value: &str| {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                response.headers_mut().insert(name, value);
             }
         };
-        add("Content-Type", "application/problem+json");
-        if let Some(seconds) = self.retry_after {
-            add("Retry-After", &seconds.to_string());
+        if let Some(seconds) = problem.retry_after {
+            add(header::RETRY_AFTER, &seconds.to_string());
         }
-        if let Some(id) = &self.request {
-            add("X-Request-Id", id);
+        if let Some(id) = &problem.request {
+            add(REQUEST_ID, id);
         }
-        // The caller may have left.
-        let _ = request.respond(response);
+        reply::whole(response)
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,10 +1,13 @@
 //! The entry daemon: input and output around the decisions of
 //! `rosemarypond-core`.
 
-pub mod agent;
+pub mod answer;
 pub mod cli;
+pub mod client;
 pub mod daemon;
+pub mod follow;
 pub mod gateway;
+pub mod head;
 pub mod log;
 pub mod metrics;
 pub mod operate;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,7 +18,7 @@
         return Ok(());
     }
     let logger = log::logger(options.log);
-    daemon::Daemon::start(settings, logger)?.run_until_drained()
+    daemon::run(settings, logger)
 }
 
 fn main() -> ExitCode {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and gauges in the text format that Prometheus reads.
 
+use std::cell::Cell;
 use std::fmt;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
@@ -63,16 +63,22 @@
     }
 }
 
-/// The metrics as text.
+/// The metrics as text, with the number of answers that are kept.
 ///
 /// # Errors
 ///
 /// Where the text cannot be written.
-pub fn encode(snapshot: &Snapshot, traffic: &Traffic) -> Result<String, fmt::Error> {
+pub fn encode(
+    snapshot: &Snapshot,
+    kept_answers: usize,
+    traffic: &Traffic,
+) -> Result<String, fmt::Error> {
     let mut registry = Registry::with_prefix("rosemarypond");
     add_tiers(&mut registry, snapshot);
     add_refusals(&mut registry, snapshot);
     add_state(&mut registry, snapshot);
+    let help = "Answers kept until they are written to the table";
+    gauge(&mut registry, "kept_answers", help, kept_answers);
     add_traffic(&mut registry, traffic);
     let mut text = String::new();
     text::encode(&mut text, &registry)?;
@@ -138,7 +144,7 @@
 }
 
 fn add_traffic(registry: &mut Registry, traffic: &Traffic) {
-    let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+    let read = |count: &Cell<u64>| count.get();
     counter(registry, "peer_sent_frames", "Frames sent", read(&traffic.sent_frames));
     counter(registry, "peer_sent_bytes", "Bytes sent to peers", read(&traffic.sent_bytes));
     let help = "Frames received from peers";
--- a/crates/daemon/src/operate/mod.rs
+++ b/crates/daemon/src/operate/mod.rs
@@ -3,25 +3,37 @@
 mod command;
 mod query;
 
-use std::sync::{Arc, Mutex};
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri, header};
 use rosemarypond_core::id;
 use rosemarypond_core::language::{Command, Query};
 use serde_json::{Value, json};
-use tiny_http::Request;
 
-use crate::agent::agent;
-use crate::gateway::{credential, reply};
+use crate::answer::Answer;
+use crate::client;
+use crate::head::credential;
 use crate::metrics::{self, Snapshot};
 use crate::peer::Traffic;
 use crate::platform::{Client, Listed};
 use crate::runtime::Handle;
 
+/// Where queries are asked.
+pub const QUERY_PATH: &str = "/operator/query";
+/// Where commands are given.
+pub const COMMAND_PATH: &str = "/operator/command";
+/// The query part of an address that asks one instance only.
+const ONLY_HERE: &str = "here";
 /// How long another instance's answer is waited for.
 pub const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 /// The longest sentence that is read, in bytes.
-pub const MAX_SENTENCE_BYTES: u64 = 64 * 1024;
+pub const MAX_SENTENCE_BYTES: usize = 64 * 1024;
+
+/// The longest answer of another instance, in bytes.
+const MAX_ANSWER_BYTES: usize = 10 * 1024 * 1024;
 
 /// Answers operators.
 #[derive(Clone)]
@@ -33,10 +45,10 @@
     /// The instance that answers.
     pub own: Listed,
     /// The instances that the platform listed last.
-    pub listed: Arc<Mutex<Vec<Listed>>>,
+    pub listed: Rc<RefCell<Vec<Listed>>>,
     /// What went over the links to peers.
-    pub traffic: Arc<Traffic>,
-    agent: ureq::Agent,
+    pub traffic: Rc<Traffic>,
+    peers: Rc<client::Client>,
 }
 
 /// An operator whose credential was accepted.
@@ -67,79 +79,75 @@
         handle: Handle,
         platform: Client,
         own: Listed,
-        listed: Arc<Mutex<Vec<Listed>>>,
-        traffic: Arc<Traffic>,
+        listed: Rc<RefCell<Vec<Listed>>>,
+        traffic: Rc<Traffic>,
     ) -> Self {
-        Self { handle, platform, own, listed, traffic, agent: agent(PEER_TIMEOUT) }
+        let peers = Rc::new(client::Client::new(PEER_TIMEOUT, MAX_ANSWER_BYTES));
+        Self { handle, platform, own, listed, traffic, peers }
     }
 
     /// The metrics as text.
     pub fn metrics(&self) -> String {
         let snapshot = self.handle.ask(|instance, _| Snapshot::of(instance));
-        let text = snapshot.and_then(|s| metrics::encode(&s, &self.traffic).ok());
+        let kept = self.handle.kept_count();
+        let text = snapshot.and_then(|s| metrics::encode(&s, kept, &self.traffic).ok());
         text.unwrap_or_default()
     }
 
     /// Answers one sentence of an operator.
-    pub fn serve(&self, mut request: Request) {
-        let outcome = self.answer(&mut request);
-        reply(request, outcome.status, "application/json", outcome.body.to_string());
+    pub async fn serve(&self, uri: &Uri, headers: &HeaderMap, sentence: &[u8]) -> Answer {
+        let outcome = self.answer(uri, headers, sentence).await;
+        Answer::new(outcome.status, "application/json", outcome.body.to_string())
     }
 
-    fn answer(&self, request: &mut Request) -> Outcome {
-        let Some(operator) = self.operator(request) else {
+    async fn answer(&self, uri: &Uri, headers: &HeaderMap, sentence: &[u8]) -> Outcome {
+        let Some(operator) = self.operator(headers) else {
             return Outcome::error(401, "A known operator's credential is needed.");
         };
-        let mut sentence = String::new();
-        let read = std::io::Read::read_to_string(
-            &mut std::io::Read::take(request.as_reader(), MAX_SENTENCE_BYTES),
-            &mut sentence,
-        );
-        if let Err(e) = read {
-            return Outcome::error(400, format!("The sentence cannot be read: {e}."));
-        }
-        if request.url().starts_with("/operator/command") {
+        let sentence = match std::str::from_utf8(sentence) {
+            Ok(sentence) => sentence,
+            Err(e) => return Outcome::error(400, format!("The sentence cannot be read: {e}.")),
+        };
+        if uri.path() == COMMAND_PATH {
             return match sentence.parse::<Command>() {
-                Ok(command) => self.execute(&operator, &sentence, command),
+                Ok(command) => self.execute(&operator, sentence, command).await,
                 Err(e) => Outcome::error(400, e),
             };
         }
-        let only_here = request.url().ends_with("?here");
+        let only_here = uri.query() == Some(ONLY_HERE);
         match sentence.parse::<Query>() {
-            Ok(query) => self.query(&operator, &sentence, query, only_here),
+            Ok(query) => self.query(&operator, sentence, query, only_here).await,
             Err(e) => Outcome::error(400, e),
         }
     }
 
-    fn operator(&self, request: &Request) -> Option<Operator> {
-        let credential = credential(request)?;
-        let presented = credential.clone();
-        let known = self.handle.ask(move |instance, _| {
+    fn operator(&self, headers: &HeaderMap) -> Option<Operator> {
+        let credential = credential(headers)?;
+        let known = self.handle.ask(|instance, _| {
             let (_, document) = instance.config();
-            document.operator(presented).map(|operator| operator.id.clone())
+            document.operator(credential).map(|operator| operator.id.clone())
         });
-        Some(Operator { id: known??, credential })
+        Some(Operator { id: known??, credential: credential.to_owned() })
     }
 
     /// Sends a sentence to another instance in the operator's name.
-    fn forward(
+    async fn forward(
         &self,
         operator: &Operator,
         to: &Listed,
         path: &str,
         sentence: &str,
     ) -> Option<Outcome> {
-        let url = format!("http://{}{path}", to.http);
-        let request = self.agent.post(url);
-        let request = request.header("Authorization", format!("Bearer {}", operator.credential));
-        let mut response = request.send(sentence).ok()?;
-        let status = response.status().as_u16();
-        let text = response.body_mut().read_to_string().ok()?;
-        Some(Outcome { status, body: serde_json::from_str(&text).ok()? })
+        let body = Bytes::copy_from_slice(sentence.as_bytes());
+        let mut request = client::request(Method::POST, to.http, path, body).ok()?;
+        let bearer = format!("Bearer {}", operator.credential).parse().ok()?;
+        request.headers_mut().insert(header::AUTHORIZATION, bearer);
+        let answer = self.peers.call(to.http, request).await.ok()?;
+        Some(Outcome { status: answer.status, body: serde_json::from_slice(&answer.body).ok()? })
     }
 
     fn others(&self) -> Vec<Listed> {
-        let listed = self.listed.lock().expect("no holder panics");
+        let listed = self.listed.borrow();
         listed.iter().filter(|l| l.instance != self.own.instance).cloned().collect()
     }
 }
--- a/crates/daemon/src/operate/query.rs
+++ b/crates/daemon/src/operate/query.rs
@@ -1,14 +1,14 @@
 //! Queries over one instance, a zone or all that can be reached.
 
 use std::cmp::Ordering;
-use std::thread;
 
+use futures_util::future::join_all;
 use rosemarypond_core::instance::{Instance, RowStage};
 use rosemarypond_core::language::{Comparison, Filter, Query, Scope, Table};
 use rosemarypond_core::timeline::Stamp;
 use serde_json::{Map, Value, json};
 
-use super::{Operate, Operator, Outcome};
+use super::{ONLY_HERE, Operate, Operator, Outcome, QUERY_PATH};
 use crate::platform::Listed;
 
 /// The most rows that one instance gives.
@@ -36,7 +36,7 @@
 }
 
 impl Operate {
-    pub(super) fn query(
+    pub(super) async fn query(
         &self,
         operator: &Operator,
         sentence: &str,
@@ -54,7 +54,7 @@
         let mut rows = self.own_rows(&query);
         let mut silent = Vec::new();
         if !only_here && query.scope != Scope::Instance {
-            let (more, missing) = self.rows_of_others(operator, sentence, query.scope);
+            let (more, missing) = self.rows_of_others(operator, sentence, query.scope).await;
             rows.extend(more);
             silent = missing;
         }
@@ -68,12 +68,11 @@
     }
 
     fn own_rows(&self, query: &Query) -> Vec<Row> {
-        let (table, own) = (query.table, self.own.clone());
-        let rows = self.handle.ask(move |instance, now| rows_of(instance, now, table, &own));
+        let rows = self.handle.ask(|instance, now| rows_of(instance, now, query.table, &self.own));
         rows.unwrap_or_default()
     }
 
-    fn rows_of_others(
+    async fn rows_of_others(
         &self,
         operator: &Operator,
         sentence: &str,
@@ -81,15 +80,13 @@
     ) -> (Vec<Row>, Vec<String>) {
         let in_scope = |l: &Listed| scope == Scope::All || l.zone == self.own.zone;
         let others: Vec<_> = self.others().into_iter().filter(in_scope).collect();
-        let ask = |to: &Listed| {
-            let outcome = self.forward(operator, to, "/operator/query?here", sentence)?;
+        let path = format!("{QUERY_PATH}?{ONLY_HERE}");
+        let ask = async |to: &Listed| {
+            let outcome = self.forward(operator, to, &path, sentence).await?;
             let rows = outcome.body.get("rows")?.clone();
             serde_json::from_value::<Vec<Row>>(rows).ok()
         };
-        let answers: Vec<_> = thread::scope(|scope| {
-            let asked: Vec<_> = others.iter().map(|to| scope.spawn(move || ask(to))).collect();
-            asked.into_iter().map(|thread| thread.join().ok().flatten()).collect()
-        });
+        let answers = join_all(others.iter().map(ask)).await;
         let mut rows = Vec::new();
         let mut silent = Vec::new();
         for (to, answer) in others.iter().zip(answers) {
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -2,20 +2,23 @@
 
 mod convert;
 
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
-use std::sync::{Arc, Mutex};
-use std::thread;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use rosemarypond_core::id;
 use rosemarypond_core::member::{Message, SILENCE};
+use rosemarypond_edge::socket;
 use rosemarypond_wire::Frame;
 use rosemarypond_wire::codec::Codec;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::platform::Listed;
@@ -29,48 +32,54 @@
 /// How many frames wait for a peer before more are dropped.
 pub const MAX_QUEUED: usize = 256;
 
-const STACK_BYTES: usize = 128 * 1024;
-const READ_BYTES: usize = 16 * 1024;
+/// How much is read from a peer at once, in bytes.
+const READ_BYTES: usize = 4 * 1024;
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What went over the links so far.
 #[derive(Debug, Default)]
 pub struct Traffic {
     /// Frames that were sent.
-    pub sent_frames: AtomicU64,
+    pub sent_frames: Cell<u64>,
     /// Bytes that were sent.
-    pub sent_bytes: AtomicU64,
+    pub sent_bytes: Cell<u64>,
     /// Frames that were received.
-    pub received_frames: AtomicU64,
+    pub received_frames: Cell<u64>,
     /// Bytes that were received.
-    pub received_bytes: AtomicU64,
+    pub received_bytes: Cell<u64>,
     /// Frames that were dropped because a peer did not take them.
-    pub dropped_frames: AtomicU64,
+    pub dropped_frames: Cell<u64>,
+}
+
+fn add(count: &Cell<u64>, more: usize) {
+    count.set(count.get() + more as u64);
 }
 
 struct Link {
     address: SocketAddr,
     own_zone: bool,
-    frames: SyncSender<Frame>,
+    frames: mpsc::Sender<Frame>,
 }
 
 /// The links of one instance.
 #[derive(Clone)]
 pub struct Links {
-    links: Arc<Mutex<HashMap<id::Instance, Link>>>,
-    traffic: Arc<Traffic>,
+    links: Rc<RefCell<HashMap<id::Instance, Link>>>,
+    traffic: Rc<Traffic>,
 }
 
 impl Links {
     /// No links yet; traffic is counted in `traffic`.
-    pub fn new(traffic: Arc<Traffic>) -> Self {
-        Self { links: Arc::default(), traffic }
+    pub fn new(traffic: Rc<Traffic>) -> Self {
+        Self { links: Rc::default(), traffic }
     }
 
     /// Links an instance of `zone` to exactly the peers that are given.
     pub fn set_peers<'a>(&self, zone: &id::Zone, peers: impl IntoIterator<Item = &'a Listed>) {
         let wanted: HashMap<_, _> =
             peers.into_iter().map(|peer| (peer.instance.clone(), peer)).collect();
-        let mut links = self.links.lock().expect("no holder panics");
+        let mut links = self.links.borrow_mut();
         links.retain(|id, link| wanted.get(id).is_some_and(|peer| peer.peer == link.address));
         for (id, peer) in wanted {
             links.entry(id).or_insert_with(|| self.open(peer.peer, peer.zone == *zone));
@@ -78,15 +87,14 @@
     }
 
     fn open(&self, address: SocketAddr, own_zone: bool) -> Link {
-        let (frames, queue) = sync_channel(MAX_QUEUED);
-        let traffic = Arc::clone(&self.traffic);
-        spawn(move || write_frames(address, &queue, &traffic));
+        let (frames, queue) = mpsc::channel(MAX_QUEUED);
+        spawn_local(write_frames(address, queue, self.traffic.clone()));
         Link { address, own_zone, frames }
     }
 
     /// Sends a message to one peer.
     pub fn send(&self, to: &id::Instance, message: &Message) {
-        let links = self.links.lock().expect("no holder panics");
+        let links = self.links.borrow();
         if let Some(link) = links.get(to) {
             self.push(link, frame(message));
         }
@@ -94,7 +102,7 @@
 
     /// Sends a message to the peers of the own zone, or of the others.
     pub fn broadcast(&self, own_zone: bool, message: &Message) {
-        let links = self.links.lock().expect("no holder panics");
+        let links = self.links.borrow();
         for link in links.values().filter(|link| link.own_zone == own_zone) {
             self.push(link, frame(message));
         }
@@ -104,85 +112,74 @@
         if link.own_zone {
             frame.zone.clear();
         }
-        if let Err(TrySendError::Full(_)) = link.frames.try_send(frame) {
-            self.traffic.dropped_frames.fetch_add(1, Ordering::Relaxed);
+        if link.frames.try_send(frame).is_err() {
+            add(&self.traffic.dropped_frames, 1);
         }
     }
 }
 
-fn spawn(work: impl FnOnce() + Send + 'static) {
-    // A link without a thread drops its queue; the peer then counts as silent.
-    drop(thread::Builder::new().stack_size(STACK_BYTES).spawn(work));
-}
-
-fn write_frames(address: SocketAddr, queue: &Receiver<Frame>, traffic: &Traffic) {
+/// Writes the frames of a link until it is taken away.
+async fn write_frames(address: SocketAddr, mut queue: mpsc::Receiver<Frame>, traffic: Rc<Traffic>) {
     let mut stream = None;
-    for frame in queue {
+    while let Some(frame) = queue.recv().await {
         let mut buffer = BytesMut::new();
         if Codec::default().encode(frame, &mut buffer).is_err() {
             continue;
         }
         if stream.is_none() {
-            stream = connect(address);
+            stream = socket::connect(address, CONNECT_TIMEOUT).await.ok();
         }
-        let written = stream.as_mut().is_some_and(|s: &mut TcpStream| s.write_all(&buffer).is_ok());
-        if written {
-            traffic.sent_frames.fetch_add(1, Ordering::Relaxed);
-            traffic.sent_bytes.fetch_add(buffer.len() as u64, Ordering::Relaxed);
+        if write(stream.as_mut(), &buffer).await {
+            add(&traffic.sent_frames, 1);
+            add(&traffic.sent_bytes, buffer.len());
         } else {
             stream = None;
-            traffic.dropped_frames.fetch_add(1, Ordering::Relaxed);
+            add(&traffic.dropped_frames, 1);
         }
     }
 }
 
-fn connect(address: SocketAddr) -> Option<TcpStream> {
-    let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
-    stream.set_write_timeout(Some(WRITE_TIMEOUT)).ok()?;
-    stream.set_nodelay(true).ok()?;
-    Some(stream)
+/// Writes to a peer in time; gives whether it was done.
+async fn write(stream: Option<&mut TcpStream>, bytes: &[u8]) -> bool {
+    let Some(stream) = stream else { return false };
+    matches!(timeout(WRITE_TIMEOUT, stream.write_all(bytes)).await, Ok(Ok(())))
 }
 
 /// Takes connections of peers and hands over their messages.
-pub fn listen(
+pub async fn listen(
     listener: TcpListener,
     own_zone: id::Zone,
-    traffic: Arc<Traffic>,
-    hand_over: impl Fn(Message) + Clone + Send + 'static,
+    traffic: Rc<Traffic>,
+    hand_over: impl Fn(Message) + Clone + 'static,
 ) {
-    spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let (traffic, hand_over) = (Arc::clone(&traffic), hand_over.clone());
-            let own_zone = own_zone.clone();
-            spawn(move || read_frames(stream, &own_zone, &traffic, &hand_over));
-        }
-    });
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let (traffic, hand_over) = (traffic.clone(), hand_over.clone());
+        spawn_local(read_frames(stream, own_zone.clone(), traffic, hand_over));
+    }
 }
 
 /// Reads until the peer closes, breaks the protocol or falls silent.
-fn read_frames(
+async fn read_frames(
     mut stream: TcpStream,
-    own_zone: &id::Zone,
-    traffic: &Traffic,
-    hand_over: &impl Fn(Message),
+    own_zone: id::Zone,
+    traffic: Rc<Traffic>,
+    hand_over: impl Fn(Message),
 ) {
-    if stream.set_read_timeout(Some(SILENCE * 2)).is_err() {
-        return;
-    }
     let (mut codec, mut buffer) = (Codec::default(), BytesMut::new());
-    let mut bytes = [0; READ_BYTES];
     loop {
-        let Ok(count) = stream.read(&mut bytes) else { return };
-        if count == 0 {
-            return;
-        }
-        traffic.received_bytes.fetch_add(count as u64, Ordering::Relaxed);
-        buffer.extend_from_slice(&bytes[..count]);
+        buffer.reserve(READ_BYTES);
+        let read = timeout(SILENCE * 2, stream.read_buf(&mut buffer)).await;
+        let Ok(Ok(count @ 1..)) = read else { return };
+        add(&traffic.received_bytes, count);
         loop {
             match codec.decode(&mut buffer) {
                 Ok(Some(frame)) => {
-                    traffic.received_frames.fetch_add(1, Ordering::Relaxed);
-                    let Some(message) = message(frame, own_zone) else { return };
+                    add(&traffic.received_frames, 1);
+                    let Some(message) = message(frame, &own_zone) else { return };
                     hand_over(message);
                 }
                 Ok(None) => break,
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -2,20 +2,23 @@
 
 mod parts;
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::Method;
 use rosemarypond_core::claim::{Read, Record, State, Version, Write};
 use rosemarypond_core::config;
 use rosemarypond_core::id;
 use rosemarypond_core::request::Key;
+use rosemarypond_wire::codec::MAX_FRAME_BYTES;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::agent::agent;
-use crate::upstream::Answer;
+use crate::answer::Answer;
+use crate::client;
 
 /// How long an answer of the platform is waited for.
 pub const TIMEOUT: Duration = Duration::from_secs(1);
@@ -69,27 +72,36 @@
 }
 
 /// Texts of a configuration's parts, by the names of their rows.
-type Parts = HashMap<String, Arc<str>>;
+type Parts = HashMap<String, Rc<str>>;
 
 /// A client of the platform.
 #[derive(Clone, Debug)]
 pub struct Client {
-    agent: ureq::Agent,
+    http: Rc<client::Client>,
     address: SocketAddr,
     /// The parts of the configuration that was read or written last.
-    parts: Arc<Mutex<Parts>>,
+    parts: Rc<RefCell<Parts>>,
 }
 
 impl Client {
     /// A client of the platform at an address.
     ///
     /// ```
-    /// let client = rosemarypond::platform::Client::new("127.0.0.1:1".parse()?);
-    /// assert!(client.instances().is_err());
-    /// # Ok::<(), std::net::AddrParseError>(())
+    /// use rosemarypond::platform::Client;
+    /// use rosemarypond_edge::thread::Thread;
+    /// let client = Client::new("127.0.0.1:1".parse()?);
+    /// assert!(Thread::new()?.block_on(client.instances()).is_err());
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
     pub fn new(address: SocketAddr) -> Self {
-        Self { agent: agent(TIMEOUT), address, parts: Arc::default() }
+        let http = Rc::new(client::Client::new(TIMEOUT, MAX_FRAME_BYTES));
+        Self { http, address, parts: Rc::default() }
+    }
+
+    async fn call(&self, method: Method, path: &str, body: String) -> Result<Answer, Error> {
+        let request = client::request(method, self.address, path, body);
+        let request = request.map_err(|e| Error::Content(e.to_string()))?;
+        self.http.call(self.address, request).await.map_err(|e| Error::Lost(e.to_string()))
     }
 
     /// Reads a row.
@@ -97,15 +109,14 @@
     /// # Errors
     ///
     /// Where no answer came or it is not understood.
-    pub fn get(&self, row: &str) -> Result<Option<(Version, Value)>, Error> {
-        let url = format!("http://{}/table/{row}", self.address);
-        let mut response = self.agent.get(url).call().map_err(lost)?;
-        match response.status().as_u16() {
+    pub async fn get(&self, row: &str) -> Result<Option<(Version, Value)>, Error> {
+        let answer = self.call(Method::GET, &format!("/table/{row}"), String::new()).await?;
+        match answer.status {
             200 => {}
             404 => return Ok(None),
             status => return Err(Error::Lost(format!("status {status}"))),
         }
-        let mut body = json_body(&mut response)?;
+        let mut body = json_body(&answer)?;
         let version = body["version"].as_u64().ok_or_else(|| no_version(&body))?;
         Ok(Some((version, body["value"].take())))
     }
@@ -115,14 +126,14 @@
     /// # Errors
     ///
     /// Where another version stands, or no answer came.
-    pub fn put(&self, row: &str, expected: Version, value: &Value) -> Result<Version, Error> {
-        let url = format!("http://{}/table/{row}?expect={expected}", self.address);
-        let mut response = self.agent.put(url).send(value.to_string()).map_err(lost)?;
-        let status = response.status().as_u16();
+    pub async fn put(&self, row: &str, expected: Version, value: &Value) -> Result<Version, Error> {
+        let path = format!("/table/{row}?expect={expected}");
+        let answer = self.call(Method::PUT, &path, value.to_string()).await?;
+        let status = answer.status;
         if status != 200 && status != 409 {
             return Err(Error::Lost(format!("status {status}")));
         }
-        let body = json_body(&mut response)?;
+        let body = json_body(&answer)?;
         let version = body["version"].as_u64().ok_or_else(|| no_version(&body))?;
         if status == 409 { Err(Error::Conflict(version)) } else { Ok(version) }
     }
@@ -132,14 +143,12 @@
     /// # Errors
     ///
     /// Where no answer came or it is not understood.
-    pub fn instances(&self) -> Result<Vec<Listed>, Error> {
-        let url = format!("http://{}/instances", self.address);
-        let mut response = self.agent.get(url).call().map_err(lost)?;
-        if response.status() != 200 {
-            return Err(Error::Lost(format!("status {}", response.status())));
+    pub async fn instances(&self) -> Result<Vec<Listed>, Error> {
+        let answer = self.call(Method::GET, "/instances", String::new()).await?;
+        if answer.status != 200 {
+            return Err(Error::Lost(format!("status {}", answer.status)));
         }
-        let body = json_body(&mut response)?;
-        serde_json::from_value(body).map_err(|e| Error::Content(e.to_string()))
+        serde_json::from_value(json_body(&answer)?).map_err(|e| Error::Content(e.to_string()))
     }
 
     /// Tells the platform where this instance is.
@@ -147,11 +156,10 @@
     /// # Errors
     ///
     /// Where no answer came.
-    pub fn announce(&self, own: &Listed) -> Result<(), Error> {
-        let url = format!("http://{}/instances/{}", self.address, own.instance);
+    pub async fn announce(&self, own: &Listed) -> Result<(), Error> {
+        let path = format!("/instances/{}", own.instance);
         let text = serde_json::to_string(own).map_err(|e| Error::Content(e.to_string()))?;
-        let response = self.agent.put(url).send(text).map_err(lost)?;
-        match response.status().as_u16() {
+        match self.call(Method::PUT, &path, text).await?.status {
             200 => Ok(()),
             status => Err(Error::Lost(format!("status {status}"))),
         }
@@ -162,19 +170,19 @@
     /// # Errors
     ///
     /// Where no answer came or what stands there is not understood.
-    pub fn config_above(
+    pub async fn config_above(
         &self,
         known: config::Version,
     ) -> Result<Option<(config::Version, config::Document)>, Error> {
-        let Some((version, head)) = self.get(HEAD)? else { return Ok(None) };
+        let Some((version, head)) = self.get(HEAD).await? else { return Ok(None) };
         if version <= known.0 {
             return Ok(None);
         }
         let head: Head = serde_json::from_value(head).map_err(|e| Error::Content(e.to_string()))?;
-        let index = self.load_row(&head.index)?;
+        let index = self.load_row(&head.index).await?;
         let names: Vec<String> =
             serde_json::from_value(index).map_err(|e| Error::Content(e.to_string()))?;
-        let parts = self.load_parts(&names)?;
+        let parts = self.load_parts(&names).await?;
         let document = parts::join(parts.iter().map(AsRef::as_ref))
             .map_err(|e| Error::Content(e.to_string()))?;
         document.check().map_err(|e| Error::Content(e.to_string()))?;
@@ -182,29 +190,29 @@
     }
 
     /// Reads the parts that are not known yet, and forgets all others.
-    fn load_parts(&self, names: &[String]) -> Result<Vec<Arc<str>>, Error> {
+    async fn load_parts(&self, names: &[String]) -> Result<Vec<Rc<str>>, Error> {
         let mut loaded = HashMap::new();
         for name in names {
-            let known = self.known_parts().get(name).cloned();
+            let known = self.parts.borrow().get(name).cloned();
             let part = match known {
                 Some(part) => part,
-                None => self.load_row(name)?.to_string().into(),
+                None => self.load_row(name).await?.to_string().into(),
             };
             loaded.insert(name.clone(), part);
         }
         let parts = names.iter().map(|name| loaded[name].clone()).collect();
-        *self.known_parts() = loaded;
+        self.parts.replace(loaded);
         Ok(parts)
     }
 
-    fn load_row(&self, name: &str) -> Result<Value, Error> {
+    async fn load_row(&self, name: &str) -> Result<Value, Error> {
         let missing = || Error::Content(format!("the row {name} is missing"));
-        let (_, value) = self.get(name)?.ok_or_else(missing)?;
+        let (_, value) = self.get(name).await?.ok_or_else(missing)?;
         Ok(value)
     }
 
-    fn known_parts(&self) -> MutexGuard<'_, Parts> {
-        self.parts.lock().expect("no holder panics")
+    fn knows_part(&self, name: &str) -> bool {
+        self.parts.borrow().contains_key(name)
     }
 
     /// Puts a document in force where the version `expected` still is.
@@ -216,7 +224,7 @@
     /// # Errors
     ///
     /// Where another version is in force, or no answer came.
-    pub fn put_config(
+    pub async fn put_config(
         &self,
         expected: config::Version,
         document: &config::Document,
@@ -224,30 +232,30 @@
     ) -> Result<config::Version, Error> {
         let parts = parts::split(document);
         for (name, part) in &parts {
-            if !self.known_parts().contains_key(name) {
-                self.put_part(name, part)?;
+            if !self.knows_part(name) {
+                self.put_part(name, part).await?;
             }
         }
         let names = parts.iter().map(|(name, _)| name.as_str()).collect();
         let (index, names) = parts::named("index", names);
-        self.put_part(&index, &names)?;
+        self.put_part(&index, &names).await?;
         let head = Head { index, operator: operator.to_owned() };
         let head = serde_json::to_value(head).map_err(|e| Error::Content(e.to_string()))?;
-        self.settle(HEAD, expected.0, &head).map(config::Version)
+        self.settle(HEAD, expected.0, &head).await.map(config::Version)
     }
 
     /// Writes a part; one that is there already has the same content.
-    fn put_part(&self, name: &str, part: &Value) -> Result<(), Error> {
-        match self.settle(name, 0, part) {
+    async fn put_part(&self, name: &str, part: &Value) -> Result<(), Error> {
+        match self.settle(name, 0, part).await {
             Ok(_) | Err(Error::Conflict(_)) => Ok(()),
             Err(e) => Err(e),
         }
     }
 
     /// Writes a row; where the answer is lost, looks whether it took effect.
-    fn settle(&self, row: &str, expected: Version, value: &Value) -> Result<Version, Error> {
-        match self.put(row, expected, value) {
-            Err(Error::Lost(why)) => match self.get(row)? {
+    async fn settle(&self, row: &str, expected: Version, value: &Value) -> Result<Version, Error> {
+        match self.put(row, expected, value).await {
+            Err(Error::Lost(why)) => match self.get(row).await? {
                 Some((version, found)) if found == *value => Ok(version),
                 Some((version, _)) if version > expected => Err(Error::Conflict(version)),
                 _ => Err(Error::Lost(why)),
@@ -257,8 +265,8 @@
     }
 
     /// Reads the record of a key and the answer that is kept with it.
-    pub fn read_record(&self, key: &Key) -> (Read, Option<Answer>) {
-        match self.get(&record_row(key)) {
+    pub async fn read_record(&self, key: &Key) -> (Read, Option<Answer>) {
+        match self.get(&record_row(key)).await {
             Ok(None) => (Read::Found(None), None),
             Ok(Some((version, value))) => match parse_record(value) {
                 Some((record, answer)) => (Read::Found(Some((version, record))), answer),
@@ -274,9 +282,9 @@
     /// # Errors
     ///
     /// Where the record changed meanwhile, or no answer came.
-    pub fn resolve(&self, key: &Key, state: State) -> Result<bool, Error> {
+    pub async fn resolve(&self, key: &Key, state: State) -> Result<bool, Error> {
         let row = record_row(key);
-        let Some((version, value)) = self.get(&row)? else { return Ok(false) };
+        let Some((version, value)) = self.get(&row).await? else { return Ok(false) };
         let stored: StoredRecord =
             serde_json::from_value(value).map_err(|e| Error::Content(e.to_string()))?;
         if stored.state != state_name(State::Dispatched) {
@@ -284,12 +292,12 @@
         }
         let settled = StoredRecord { state: state_name(state).to_owned(), ..stored };
         let value = serde_json::to_value(settled).map_err(|e| Error::Content(e.to_string()))?;
-        self.put(&row, version, &value)?;
+        self.put(&row, version, &value).await?;
         Ok(true)
     }
 
     /// Writes the record of a key and the answer that is kept with it.
-    pub fn write_record(
+    pub async fn write_record(
         &self,
         key: &Key,
         expected: Version,
@@ -303,7 +311,7 @@
             answer: answer.filter(|a| a.body.len() <= MAX_KEPT_BYTES),
         };
         let Ok(value) = serde_json::to_value(stored) else { return Write::Lost };
-        match self.put(&record_row(key), expected, &value) {
+        match self.put(&record_row(key), expected, &value).await {
             Ok(version) => Write::Done(version),
             Err(Error::Conflict(_)) => Write::Conflict,
             Err(_) => Write::Lost,
@@ -344,16 +352,10 @@
     Some((Record { state, nonce, fingerprint }, stored.answer))
 }
 
-fn lost(error: ureq::Error) -> Error {
-    Error::Lost(error.to_string())
-}
-
 fn no_version(body: &Value) -> Error {
     Error::Content(format!("no version in {body}"))
 }
 
-fn json_body(response: &mut ureq::http::Response<ureq::Body>) -> Result<Value, Error> {
-    let limit = rosemarypond_wire::codec::MAX_FRAME_BYTES as u64;
-    let text = response.body_mut().with_config().limit(limit).read_to_string().map_err(lost)?;
-    serde_json::from_str(&text).map_err(|e| Error::Content(e.to_string()))
+fn json_body(answer: &Answer) -> Result<Value, Error> {
+    serde_json::from_slice(&answer.body).map_err(|e| Error::Content(e.to_string()))
 }
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,41 +1,40 @@
 //! Calls of upstreams: each request is sent once; broken streams are resumed.
 
-use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
-use std::sync::mpsc::Sender;
-use std::thread;
+use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, header, http};
 use rosemarypond_core::claim::Ended;
 use rosemarypond_core::config::Kind;
 use rosemarypond_core::id;
 use rosemarypond_core::request::Repeat;
-use serde::{Deserialize, Serialize};
+use rosemarypond_edge::event_stream::Cutter;
+use rosemarypond_edge::pool::{Connection, Failed, Pool};
 use serde_json::Value;
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{sleep, timeout};
 
-use crate::gateway::Note;
+use crate::answer::Answer;
+use crate::client;
 
 /// How long a connection may take to open.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long an order to cancel a stream may take.
 pub const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
-/// The stack of a thread that reads an answer, in bytes.
-pub const STACK_BYTES: usize = 256 * 1024;
-/// The buffers of a connection, in bytes.
-const BUFFER_BYTES: usize = 8 * 1024;
+/// The pause before a stream is resumed.
+pub const RESUME_PAUSE: Duration = Duration::from_millis(100);
 /// The longest answer that is not streamed, in bytes.
-pub const MAX_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// The event that ends a stream.
+pub const DONE: &[u8] = b"data: [DONE]\n\n";
 
-/// A whole answer.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Answer {
-    /// Its HTTP status.
-    pub status: u16,
-    /// Its media type.
-    pub content_type: String,
-    /// Its body.
-    pub body: Vec<u8>,
-}
+/// How many pieces wait for a slow caller.
+const PIECES_AHEAD: usize = 16;
 
 /// A request as it is sent to an upstream.
 #[derive(Clone, Debug)]
@@ -43,7 +42,7 @@
     /// The request.
     pub id: id::Request,
     /// Its HTTP method.
-    pub method: String,
+    pub method: Method,
     /// Its path and query.
     pub path: String,
     /// The media type of its body.
@@ -51,7 +50,7 @@
     /// Its idempotency key.
     pub key: Option<String>,
     /// Its body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Whether its answer is streamed.
     pub streams: bool,
     /// Whether it may be repeated.
@@ -71,148 +70,169 @@
     pub kind: Kind,
 }
 
-/// What reading an answer brings, with the number of the try that it is from.
+/// What reading an answer brings.
 #[derive(Clone, Debug)]
 pub enum Piece {
     /// One event of a stream.
-    Event(Vec<u8>),
+    Event(Bytes),
     /// A whole answer that was not streamed.
     Whole(Answer),
     /// The end.
     End(Ended),
 }
 
-/// The agents that upstreams are called with.
-#[derive(Clone, Debug)]
-pub struct Agents {
-    pooled: ureq::Agent,
-    fresh: ureq::Agent,
+/// An answer that is being read; dropping it ends the connection.
+#[derive(Debug)]
+pub struct Answering {
+    pieces: mpsc::Receiver<Piece>,
+    task: AbortHandle,
+}
+
+impl Answering {
+    /// Waits for the next piece.
+    pub async fn next(&mut self) -> Piece {
+        self.pieces.recv().await.unwrap_or(Piece::End(Ended::Broken))
+    }
 }
 
-impl Default for Agents {
-    fn default() -> Self {
-        let build = |idle| {
-            let config = crate::agent::config()
-                .timeout_connect(Some(CONNECT_TIMEOUT))
-                .input_buffer_size(BUFFER_BYTES)
-                .output_buffer_size(BUFFER_BYTES)
-                .max_idle_connections(idle)
-                .max_idle_connections_per_host(idle);
-            config.build().into()
-        };
-        Self { pooled: build(16), fresh: build(0) }
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Where the pieces of an answer go; gives whether they are still wanted.
+struct Reader(mpsc::Sender<Piece>);
+
+impl Reader {
+    async fn piece(&self, piece: Piece) -> bool {
+        self.0.send(piece).await.is_ok()
     }
 }
 
-impl Agents {
-    /// Calls an upstream in a thread of its own; pieces go to `notes`.
+/// Calls upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Upstreams {
+    pool: Rc<Pool>,
+}
+
+impl Upstreams {
+    /// Sends a request to an upstream.
     ///
-    /// A call that may not be repeated gets a fresh connection: a pooled one
-    /// may have gone silent.
-    pub fn call(&self, call: Call, target: Target, attempt: u32, notes: Sender<Note>) {
-        let agent = if call.repeat.may_cancel() && !call.streams {
-            self.pooled.clone()
-        } else {
-            self.fresh.clone()
-        };
-        spawn(move || {
-            let piece = |piece| notes.send(Note::Piece { attempt, piece }).is_ok();
-            match send(&agent, &call, &target) {
-                Ok(response) => read_answer(&call, &target, response, &piece),
-                Err(e) => piece(Piece::End(how_ended(&e))),
-            };
-        });
+    /// A call that may not be repeated gets a fresh connection: a kept one may
+    /// have gone silent.
+    pub fn call(&self, call: Rc<Call>, target: Target) -> Answering {
+        let pool = self.pool.clone();
+        read(async move |reader| {
+            let limit = call.limit;
+            let exchange = exchange(&pool, &call, &target, &reader);
+            let how = timeout(limit, exchange).await.unwrap_or(Ended::Broken);
+            reader.piece(Piece::End(how)).await;
+        })
     }
 
-    /// Resumes a stream behind the events that were already received.
+    /// Resumes a stream behind the events that were already received, after a
+    /// pause.
     pub fn resume(
         &self,
         id: id::Request,
         address: SocketAddr,
         from: usize,
         limit: Duration,
-        attempt: u32,
-        notes: Sender<Note>,
-    ) {
-        let agent = self.fresh.clone();
-        spawn(move || {
-            let piece = |piece| notes.send(Note::Piece { attempt, piece }).is_ok();
-            let url = format!("http://{address}/v1/streams/{id}?from={from}");
-            let request = agent.get(url).config().timeout_global(Some(limit)).build();
-            match request.header("Connection", "close").call() {
-                Ok(response) if response.status() == 200 => read_events(id, response, &piece),
-                _ => piece(Piece::End(Ended::Broken)),
-            };
-        });
+    ) -> Answering {
+        read(async move |reader| {
+            sleep(RESUME_PAUSE).await;
+            let how = timeout(limit, resume(id, address, from, &reader)).await;
+            reader.piece(Piece::End(how.unwrap_or(Ended::Broken))).await;
+        })
     }
 
     /// Tells an engine to stop a stream.
     pub fn cancel(&self, id: id::Request, address: SocketAddr) {
-        let url = format!("http://{address}/v1/streams/{id}");
-        let request = self.fresh.delete(url).config().timeout_global(Some(CANCEL_TIMEOUT)).build();
-        // An engine that does not answer is dealt with by the call's own limit.
-        let _ = request.call();
+        spawn_local(async move {
+            let client = client::Client::new(CANCEL_TIMEOUT, MAX_ANSWER_BYTES);
+            let path = format!("/v1/streams/{id}");
+            if let Ok(request) = client::request(Method::DELETE, address, path, "") {
+                // An engine that does not answer is dealt with by the call's
+                // own limit.
+                let _ = client.call(address, request).await;
+            }
+        });
     }
-}
 
-fn spawn(work: impl FnOnce() + Send + 'static) {
-    let built = thread::Builder::new().stack_size(STACK_BYTES).spawn(work);
-    // Without the thread the sender of notes is dropped, which ends the call.
-    drop(built);
+    /// Closes the connections that were kept for too long.
+    pub fn sweep(&self) {
+        self.pool.sweep(|_| true);
+    }
 }
 
-type Response = ureq::http::Response<ureq::Body>;
+fn read(work: impl AsyncFnOnce(Reader) + 'static) -> Answering {
+    let (sender, pieces) = mpsc::channel(PIECES_AHEAD);
+    let task = spawn_local(work(Reader(sender))).abort_handle();
+    Answering { pieces, task }
+}
 
-fn send(agent: &ureq::Agent, call: &Call, target: &Target) -> Result<Response, ureq::Error> {
-    let url = format!("http://{}{}", target.address, call.path);
-    let mut request = ureq::http::Request::builder()
-        .method(call.method.as_str())
-        .uri(url)
-        .header("X-Request-Id", call.id.to_string());
-    if call.streams {
-        request = request.header("Connection", "close");
+async fn exchange(pool: &Pool, call: &Call, target: &Target, reader: &Reader) -> Ended {
+    let may_keep = call.repeat.may_cancel() && !call.streams;
+    let opened = if may_keep {
+        pool.take(target.address, CONNECT_TIMEOUT).await
+    } else {
+        Connection::open(target.address, CONNECT_TIMEOUT).await
+    };
+    let Ok(mut connection) = opened else { return Ended::NotDispatched };
+    let Ok(request) = request_of(call, target) else { return Ended::NotDispatched };
+    let response = match connection.send(request).await {
+        Ok(response) => response,
+        // From the first byte that was written on, it counts as dispatched.
+        Err(Failed::NotSent) => return Ended::NotDispatched,
+        Err(Failed::Broken) => return Ended::Broken,
+    };
+    if call.streams && response.status() == 200 {
+        return pass_events(call.id, response, connection, reader).await;
     }
-    if let Some(kind) = &call.content_type {
-        request = request.header("Content-Type", kind);
+    let (head, body) = response.into_parts();
+    let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    let Ok(whole) = whole else { return Ended::Broken };
+    let answer = Answer::read(&head, whole.to_bytes());
+    if may_keep {
+        pool.keep(connection, &head);
+    } else {
+        connection.settle();
     }
-    if let Some(key) = &call.key {
-        request = request.header("Idempotency-Key", key);
-    }
-    let body_less = call.body.is_empty() && matches!(call.method.as_str(), "GET" | "HEAD");
-    if body_less {
-        let request = agent.configure_request(request.body(())?);
-        return agent.run(request.timeout_global(Some(call.limit)).build());
+    if !is_own(call, target, &answer) {
+        return Ended::Broken;
     }
-    let request = agent.configure_request(request.body(call.body.clone())?);
-    agent.run(request.timeout_global(Some(call.limit)).build())
+    reader.piece(Piece::Whole(answer)).await;
+    Ended::Whole
 }
 
-/// From the first byte that was written on, a request counts as dispatched.
-fn how_ended(error: &ureq::Error) -> Ended {
-    let not_sent = match error {
-        ureq::Error::Io(e) => e.kind() == std::io::ErrorKind::ConnectionRefused,
-        ureq::Error::Timeout(ureq::Timeout::Connect) => true,
-        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => true,
-        _ => false,
+async fn resume(id: id::Request, address: SocketAddr, from: usize, reader: &Reader) -> Ended {
+    let path = format!("/v1/streams/{id}?from={from}");
+    let Ok(request) = client::request(Method::GET, address, path, "") else { return Ended::Broken };
+    let Ok(mut connection) = Connection::open(address, CONNECT_TIMEOUT).await else {
+        return Ended::Broken;
     };
-    if not_sent { Ended::NotDispatched } else { Ended::Broken }
+    match connection.send(request.map(Full::new)).await {
+        Ok(response) if response.status() == 200 => {
+            pass_events(id, response, connection, reader).await
+        }
+        _ => Ended::Broken,
+    }
 }
 
-fn read_answer(
-    call: &Call,
-    target: &Target,
-    response: Response,
-    piece: &impl Fn(Piece) -> bool,
-) -> bool {
-    if call.streams && response.status() == 200 {
-        return read_events(call.id, response, piece);
+fn request_of(call: &Call, target: &Target) -> Result<Request<Full<Bytes>>, http::Error> {
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(&call.path)
+        .header(header::HOST, target.address.to_string())
+        .header("X-Request-Id", call.id.to_string());
+    if let Some(kind) = &call.content_type {
+        request = request.header(header::CONTENT_TYPE, kind);
     }
-    match read_whole(response) {
-        Some(answer) if is_own(call, target, &answer) => {
-            piece(Piece::Whole(answer)) && piece(Piece::End(Ended::Whole))
-        }
-        _ => piece(Piece::End(Ended::Broken)),
+    if let Some(key) = &call.key {
+        request = request.header("Idempotency-Key", key);
     }
+    request.body(Full::new(call.body.clone()))
 }
 
 /// Whether an answer of an engine carries the id of its request.
@@ -224,35 +244,32 @@
     body["id"].as_str() == Some(call.id.to_string().as_str())
 }
 
-fn read_whole(response: Response) -> Option<Answer> {
-    let status = response.status().as_u16();
-    let content_type = response.headers().get("Content-Type").and_then(|v| v.to_str().ok());
-    let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
-    let mut body = Vec::new();
-    let mut reader = response.into_body().into_reader().take(MAX_ANSWER_BYTES + 1);
-    reader.read_to_end(&mut body).ok()?;
-    let fits = body.len() as u64 <= MAX_ANSWER_BYTES;
-    fits.then_some(Answer { status, content_type, body })
-}
-
-/// Reads server-sent events up to the closing one.
-fn read_events(id: id::Request, response: Response, piece: &impl Fn(Piece) -> bool) -> bool {
-    let mut reader = BufReader::new(response.into_body().into_reader());
-    let mut event = Vec::new();
+/// Reads events up to the closing one.
+async fn pass_events(
+    id: id::Request,
+    response: Response<Incoming>,
+    connection: Connection,
+    reader: &Reader,
+) -> Ended {
+    let mut body = response.into_body();
+    let mut cutter = Cutter::default();
     loop {
-        match reader.read_until(b'\n', &mut event) {
-            Ok(0) | Err(_) => return piece(Piece::End(Ended::Broken)),
-            Ok(_) if !event.ends_with(b"\n\n") => continue,
-            Ok(_) => {}
-        }
-        if event == b"data: [DONE]\n\n" {
-            return piece(Piece::End(Ended::Whole));
+        while let Some(event) = cutter.next_event() {
+            if event.bytes == DONE {
+                connection.settle();
+                return Ended::Whole;
+            }
+            if !carries_id(&event.bytes, id) || !reader.piece(Piece::Event(event.bytes)).await {
+                return Ended::Broken;
+            }
         }
-        if !carries_id(&event, id) {
-            return piece(Piece::End(Ended::Broken));
+        if cutter.is_overlong() {
+            return Ended::Broken;
         }
-        if !piece(Piece::Event(std::mem::take(&mut event))) {
-            return false;
+        match body.frame().await.map(|frame| frame.map(hyper::body::Frame::into_data)) {
+            Some(Ok(Ok(bytes))) => cutter.push(&bytes),
+            Some(Ok(Err(_))) => {}
+            Some(Err(_)) | None => return Ended::Broken,
         }
     }
 }
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -2,14 +2,15 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::thread;
 use std::time::Duration;
 
+use hyper::Method;
 use rosemarypond_core::event::Event;
 use rosemarypond_core::id;
 use serde_json::Value;
+use tokio::time::sleep;
 
-use crate::agent::agent;
+use crate::client::{self, Client};
 use crate::runtime::Handle;
 
 /// The pause between two rounds of reading.
@@ -17,21 +18,18 @@
 /// How long a report is waited for.
 pub const TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Starts to read the reports of the engines that the instance watches.
-///
-/// # Errors
-///
-/// Where the system gives no thread.
-pub fn start(handle: Handle) -> std::io::Result<()> {
-    let agent = agent(TIMEOUT);
-    thread::Builder::new().name("watch".into()).spawn(move || {
-        let mut leaving = BTreeSet::new();
-        while let Some(watched) = watched(&handle) {
-            follow(&agent, &handle, &watched, &mut leaving);
-            thread::sleep(INTERVAL);
-        }
-    })?;
-    Ok(())
+/// The longest report, in bytes.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
+/// Reads the reports of the engines that the instance watches, until the
+/// instance has stopped.
+pub async fn follow(handle: Handle) {
+    let client = Client::new(TIMEOUT, MAX_REPORT_BYTES);
+    let mut leaving = BTreeSet::new();
+    while let Some(watched) = watched(&handle) {
+        look(&client, &handle, &watched, &mut leaving).await;
+        sleep(INTERVAL).await;
+    }
 }
 
 fn watched(handle: &Handle) -> Option<Vec<(id::Upstream, SocketAddr)>> {
@@ -43,16 +41,21 @@
 
 /// Tells the instance what changed; an engine that gives no report stays as
 /// it was, and one that another instance watches now is let go of.
-fn follow(
-    agent: &ureq::Agent,
+async fn look(
+    client: &Client,
     handle: &Handle,
     watched: &[(id::Upstream, SocketAddr)],
     leaving: &mut BTreeSet<id::Upstream>,
 ) {
     let is_watched = |id: &id::Upstream| watched.iter().any(|(other, _)| other == id);
     let passed_on: Vec<_> = leaving.iter().filter(|id| !is_watched(id)).cloned().collect();
-    let reports = watched.iter().filter_map(|(id, to)| Some((id.clone(), report(agent, *to)?)));
-    for (upstream, leaves) in passed_on.into_iter().map(|id| (id, false)).chain(reports) {
+    let mut told: Vec<_> = passed_on.into_iter().map(|id| (id, false)).collect();
+    for (upstream, address) in watched {
+        if let Some(leaves) = report(client, *address).await {
+            told.push((upstream.clone(), leaves));
+        }
+    }
+    for (upstream, leaves) in told {
         let changed =
             if leaves { leaving.insert(upstream.clone()) } else { leaving.remove(&upstream) };
         if changed {
@@ -61,8 +64,8 @@
     }
 }
 
-fn report(agent: &ureq::Agent, to: SocketAddr) -> Option<bool> {
-    let mut response = agent.get(format!("http://{to}/load")).call().ok()?;
-    let text = response.body_mut().read_to_string().ok()?;
-    serde_json::from_str::<Value>(&text).ok()?["leaving"].as_bool()
+async fn report(client: &Client, to: SocketAddr) -> Option<bool> {
+    let request = client::request(Method::GET, to, "/load", "").ok()?;
+    let answer = client.call(to, request).await.ok()?;
+    serde_json::from_slice::<Value>(&answer.body).ok()?["leaving"].as_bool()
 }
--- a/crates/daemon/tests/configuration.rs
+++ b/crates/daemon/tests/configuration.rs
@@ -1,7 +1,10 @@
 //! The configuration in the platform's table: parts, races and lost answers.
 
+use std::net::SocketAddr;
+
 use rosemarypond::platform::{Client, Error};
 use rosemarypond_core::config::{Document, Team, Tier, Version, digest};
+use rosemarypond_edge::thread::Thread;
 use rosemarypond_standin::platform::{Faults, Platform};
 
 macro_rules! cases {
@@ -28,13 +31,38 @@
     document
 }
 
-fn start() -> (Platform, Client) {
+/// A client on a thread that waits for its answers.
+struct Waiting {
+    client: Client,
+    thread: Thread,
+}
+
+impl Waiting {
+    fn new(platform: SocketAddr) -> Self {
+        Self { client: Client::new(platform), thread: Thread::new().expect("a runtime") }
+    }
+
+    fn put_config(
+        &self,
+        expected: Version,
+        document: &Document,
+        operator: &str,
+    ) -> Result<Version, Error> {
+        self.thread.block_on(self.client.put_config(expected, document, operator))
+    }
+
+    fn config_above(&self, known: Version) -> Result<Option<(Version, Document)>, Error> {
+        self.thread.block_on(self.client.config_above(known))
+    }
+}
+
+fn start() -> (Platform, Waiting) {
     let platform = Platform::start().expect("a port");
-    let client = Client::new(platform.address);
+    let client = Waiting::new(platform.address);
     (platform, client)
 }
 
-fn read(client: &Client) -> (Version, Document) {
+fn read(client: &Waiting) -> (Version, Document) {
     let found = client.config_above(Version::default()).expect("the platform answers");
     let (version, document) = found.expect("there is a configuration");
     (version, sorted(document))
@@ -44,7 +72,7 @@
     let (platform, client) = start();
     let document = document(1_000);
     assert_eq!(client.put_config(Version(0), &document, "ama"), Ok(Version(1)));
-    let other = Client::new(platform.address);
+    let other = Waiting::new(platform.address);
     assert_eq!(read(&other), (Version(1), document));
 }
 
@@ -54,7 +82,7 @@
     let (platform, client) = start();
     let mut document = document(5_000);
     client.put_config(Version(0), &document, "ama").expect("it is accepted");
-    let other = Client::new(platform.address);
+    let other = Waiting::new(platform.address);
     read(&client);
     read(&other);
     let (reads, writes) = platform.traffic();
@@ -67,7 +95,7 @@
 
 fn one_of_two_operators_wins() {
     let (platform, client) = start();
-    let other = Client::new(platform.address);
+    let other = Waiting::new(platform.address);
     client.put_config(Version(0), &document(1), "ama").expect("it is accepted");
     assert_eq!(client.put_config(Version(1), &document(2), "ama"), Ok(Version(2)));
     let late = other.put_config(Version(1), &document(3), "kofi");
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -361,6 +361,32 @@
     assert!(wasted.is_some_and(|line| !line.ends_with(" 0")), "{wasted:?}");
 }
 
+/// A caller that leaves while its request waits is noticed, and the request
+/// never runs.
+fn waiting_caller_leaves() {
+    use std::io::Write;
+    let site = Site::start(&["accra-a"]);
+    // While the platform is frozen no record can be written.
+    site.platform.signal("STOP");
+    let mut caller = std::net::TcpStream::connect(site.daemons[0].http).expect("a connection");
+    let head = format!(
+        "POST /orders/new HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TEAM}\r\n\
+         Idempotency-Key: gone\r\nContent-Length: 2\r\n\r\n{{}}"
+    );
+    caller.write_all(head.as_bytes()).expect("the request is taken");
+    let held = |site: &Site| {
+        let rows = site.operate(0, "/operator/query", "count requests over instance").json();
+        rows["count"].clone()
+    };
+    site.wait_until("the order is held", |site| held(site) == 1);
+    drop(caller);
+    let noticed = std::time::Instant::now();
+    site.wait_until("the order is let go", |site| held(site) == 0);
+    assert!(noticed.elapsed() < Duration::from_millis(900), "{:?}", noticed.elapsed());
+    site.platform.signal("CONT");
+    assert_eq!(site.runs("gone"), 0);
+}
+
 cases! {
     payment_killed_before_dispatch => kill_before_dispatch();
     payment_killed_during_dispatch => kill_during_dispatch();
@@ -383,4 +409,5 @@
     time_line => time_line_of_a_configuration();
     configuration_spreads => configuration_from_a_peer();
     caller_gone => caller_leaves();
+    waiting_caller_gone => waiting_caller_leaves();
 }
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -37,6 +37,18 @@
     assert_eq!(site.runs("order-1"), 1);
 }
 
+/// An answer is kept in memory only until it is written under its key.
+fn forgets_what_it_wrote() {
+    let site = Site::start(&["accra-a"]);
+    for key in ["order-4", "order-5"] {
+        assert_eq!(site.order(0, key).expect("an answer").status, 200);
+    }
+    site.wait_until("no answer is kept", |site| {
+        let metrics = get(site.daemons[0].http, "/metrics", None).expect("an answer").body;
+        metrics.contains("rosemarypond_kept_answers 0")
+    });
+}
+
 fn refuses_a_key_with_another_body() {
     let site = Site::start(&["accra-a"]);
     assert_eq!(site.order(0, "order-2").expect("an answer").status, 200);
@@ -83,6 +95,7 @@
     streamed => streams_a_whole_answer();
     whole => passes_a_whole_answer_on();
     keyed_once => runs_a_keyed_order_once_over_two_zones();
+    answers_forgotten => forgets_what_it_wrote();
     key_reused => refuses_a_key_with_another_body();
     key_of_another_team => keeps_the_keys_of_teams_apart();
     refusals_of_bad_requests => refuses_unknown_credentials_and_paths();
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -20,7 +20,7 @@
 use crate::dialect::{Forward, Head, Meaning, Refusal};
 use crate::gateway::Gateway;
 use crate::pool::{Connection, Failed};
-use crate::reply::{self, Reply, Sender};
+use crate::reply::{self, Caller, Reply};
 use crate::runtime::{Directive, Directives};
 
 /// How long an upstream has to accept a connection.
@@ -36,24 +36,6 @@
 /// elsewhere.
 const MIN_STALL: Duration = Duration::from_millis(1_200);
 
-/// Who waits for the answer.
-pub enum Caller {
-    /// The caller has got nothing yet.
-    Waiting(oneshot::Sender<Response<Reply>>),
-    /// The caller gets the pieces of a stream.
-    Streaming(Sender),
-}
-
-impl Caller {
-    /// Completes when the caller left.
-    async fn left(&mut self) {
-        match self {
-            Caller::Waiting(answer) => answer.closed().await,
-            Caller::Streaming(pieces) => pieces.closed().await,
-        }
-    }
-}
-
 /// A request with all that is known of it.
 pub struct Exchange {
     /// The borders.
@@ -231,7 +213,7 @@
             Err(_) if matches!(meaning, Meaning::NotRun { .. }) => Bytes::new(),
             Err(_) => return self.broken(),
         };
-        self.gateway.keep(connection, &parts);
+        self.gateway.pool.keep(connection, &parts);
         self.weigh(meaning, parts, bytes)
     }
 
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -25,7 +25,7 @@
 use crate::dialect::{Dialect, Head, Refusal};
 use crate::exchange::Exchange;
 use crate::metrics::Metrics;
-use crate::pool::{Connection, Pool};
+use crate::pool::Pool;
 use crate::reply::{self, Reply};
 use crate::runtime::Handle;
 
@@ -162,17 +162,6 @@
         self.proof_limit.is_none_or(fresh)
     }
 
-    /// Keeps a connection whose answer was read to its end.
-    pub fn keep(&self, connection: Connection, answer: &http::response::Parts) {
-        let header = |name| answer.headers.get(name).and_then(|v| v.to_str().ok());
-        if header(http::header::CONNECTION).is_some_and(|c| c.eq_ignore_ascii_case("close")) {
-            connection.settle();
-            return;
-        }
-        let keep_alive = header(http::HeaderName::from_static("keep-alive"));
-        self.pool.put(connection, keep_alive.and_then(idle_timeout));
-    }
-
     /// Answers a request.
     pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Response<Reply> {
         self.metrics.requests.inc();
@@ -290,9 +279,3 @@
     }
     Ok(whole.freeze())
 }
-
-/// The time that a header such as `timeout=5, max=100` states.
-fn idle_timeout(header: &str) -> Option<Duration> {
-    let timeout = header.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.trim().parse().ok().map(Duration::from_secs)
-}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! in `rosemarypond-core`, and they carry out the actions that it gives back.
 //! A [`dialect::Dialect`] says how heads, answers and refusals are worded.
 
+pub mod actor;
 pub mod clock;
 pub mod dialect;
 pub mod event_stream;
@@ -19,3 +20,4 @@
 pub mod runtime;
 pub mod server;
 pub mod socket;
+pub mod thread;
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response};
+use hyper::{Request, Response, http};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -216,12 +216,17 @@
         kept.pop().map(|i| i.connection)
     }
 
-    /// Keeps a connection whose answer was read to its end.
-    pub fn put(&self, connection: Connection, idle_timeout: Option<Duration>) {
+    /// Keeps a connection whose answer was read to its end, as far as the head
+    /// of the answer lets it.
+    pub fn keep(&self, connection: Connection, answer: &http::response::Parts) {
         connection.settle();
-        if connection.sender.is_closed() {
+        let header = |name| answer.headers.get(name).and_then(|v| v.to_str().ok());
+        let closes = |value: &str| value.eq_ignore_ascii_case("close");
+        if connection.sender.is_closed() || header(http::header::CONNECTION).is_some_and(closes) {
             return;
         }
+        let keep_alive = header(http::HeaderName::from_static("keep-alive"));
+        let idle_timeout = keep_alive.and_then(idle_timeout);
         let keep = idle_timeout.unwrap_or(DEFAULT_IDLE).saturating_sub(IDLE_MARGIN);
         let until = clock::now() + keep;
         let mut idle = self.idle.borrow_mut();
@@ -241,3 +246,9 @@
         });
     }
 }
+
+/// The time that a header such as `timeout=5, max=100` states.
+fn idle_timeout(header: &str) -> Option<Duration> {
+    let timeout = header.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -12,8 +12,8 @@
 
 use crate::clock;
 use crate::event_stream::{Cutter, Event};
-use crate::exchange::{Caller, Exchange, Opened, Tried, next_directive};
-use crate::reply::{self, Broken};
+use crate::exchange::{Exchange, Opened, Tried, next_directive};
+use crate::reply::{self, Broken, Caller};
 use crate::runtime::{Directive, Directives};
 
 /// How one upstream's part of a stream ended.
@@ -141,7 +141,7 @@
             match frame {
                 None if cutter.is_torn() => return Part::Broken,
                 None => {
-                    self.gateway.keep(connection, &parts);
+                    self.gateway.pool.keep(connection, &parts);
                     return Part::Complete;
                 }
                 Some(Err(_)) => return Part::Broken,
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -8,7 +8,7 @@
 use http_body_util::{Either, Full};
 use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// How many pieces wait for a slow caller.
 const PIECES_AHEAD: usize = 16;
@@ -61,3 +61,22 @@
 pub fn whole(response: Response<Bytes>) -> Response<Reply> {
     response.map(|bytes| Either::Left(Full::new(bytes)))
 }
+
+/// Who waits for an answer.
+#[derive(Debug)]
+pub enum Caller {
+    /// The caller has got nothing yet.
+    Waiting(oneshot::Sender<Response<Reply>>),
+    /// The caller gets the pieces of a stream.
+    Streaming(Sender),
+}
+
+impl Caller {
+    /// Completes when the caller left.
+    pub async fn left(&mut self) {
+        match self {
+            Caller::Waiting(answer) => answer.closed().await,
+            Caller::Streaming(pieces) => pieces.closed().await,
+        }
+    }
+}
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -11,9 +11,10 @@
 use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler};
 use rosemarypond_core::entry::upstream::Listed;
 use rosemarypond_core::id;
-use stakker::{ActorOwn, Stakker, actor, call, fwd_do, ret_nop};
+use stakker::{actor, ret_nop};
 use tokio::sync::mpsc;
 
+use crate::actor::Host;
 use crate::clock;
 
 /// What a request is to do next.
@@ -49,9 +50,7 @@
 }
 
 struct Inner {
-    stakker: RefCell<Stakker>,
-    node: ActorOwn<Node>,
-    actions: Rc<RefCell<Vec<Action>>>,
+    host: Host<Node, Action>,
     waiters: RefCell<HashMap<id::Request, mpsc::UnboundedSender<Directive>>>,
     gossip: mpsc::UnboundedSender<Told>,
 }
@@ -63,19 +62,10 @@
 impl Handle {
     /// Starts the scheduler; what it tells peers comes out of the receiver.
     pub fn start(options: Options) -> (Self, mpsc::UnboundedReceiver<Told>) {
-        let mut stakker = Stakker::new(clock::now());
-        let actions = Rc::new(RefCell::new(Vec::new()));
-        let taken = actions.clone();
-        let sink = fwd_do!(move |action| taken.borrow_mut().push(action));
-        let node = actor!(stakker, Node::init(options, sink), ret_nop!());
+        let host =
+            Host::start(|stakker, sink| actor!(stakker, Node::init(options, sink), ret_nop!()));
         let (gossip, told) = mpsc::unbounded_channel();
-        let inner = Inner {
-            stakker: RefCell::new(stakker),
-            node,
-            actions,
-            waiters: RefCell::default(),
-            gossip,
-        };
+        let inner = Inner { host, waiters: RefCell::default(), gossip };
         (Self(Rc::new(inner)), told)
     }
 
@@ -83,16 +73,13 @@
     pub async fn run_timers(&self) {
         loop {
             self.run();
-            let now = clock::now();
-            let next = self.0.stakker.borrow_mut().next_expiry();
-            let wait = next.map_or(Duration::from_secs(1), |at| at.saturating_duration_since(now));
-            tokio::time::sleep(wait).await;
+            self.0.host.due().await;
         }
     }
 
     /// Gives an event to the scheduler.
     pub fn event(&self, event: Event) {
-        call!([self.0.node], event(event));
+        self.0.host.call(|node, cx| node.event(cx, event));
         self.run();
     }
 
@@ -107,14 +94,11 @@
 
     /// Asks the scheduler.
     pub fn ask<T>(&self, look: impl FnOnce(&mut Scheduler) -> T) -> Option<T> {
-        let mut stakker = self.0.stakker.borrow_mut();
-        self.0.node.query(&mut stakker, |node, _| look(node.scheduler()))
+        self.0.host.ask(|node| look(node.scheduler()))
     }
 
     fn run(&self) {
-        self.0.stakker.borrow_mut().run(clock::now(), false);
-        let actions = std::mem::take(&mut *self.0.actions.borrow_mut());
-        for action in actions {
+        for action in self.0.host.run() {
             self.carry_out(action);
         }
     }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -18,8 +18,9 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::clock;
 use crate::reply::Reply;
-use crate::{clock, socket};
+use crate::socket::Watch;
 
 /// How often a connection's idle time is looked at.
 const IDLE_CHECK: Duration = Duration::from_secs(1);
@@ -43,6 +44,8 @@
 pub struct Options {
     /// The most connections at once.
     pub max_connections: usize,
+    /// After which times a connection counts as dead.
+    pub watch: Watch,
     /// What callers may send.
     pub limits: Box<dyn Fn() -> Limits>,
     /// How far the server is on its way to its end.
@@ -119,7 +122,7 @@
     S: Fn(Request<Incoming>) -> F + Clone + 'static,
 {
     // A connection that cannot be watched still carries requests.
-    let _ = socket::watch(&stream);
+    let _ = options.watch.set(&stream);
     let limits = (options.limits)();
     let activity = Rc::new(Activity { requests: Cell::new(0), last: RefCell::new(clock::now()) });
     let phase = options.phase.clone();
@@ -139,6 +142,7 @@
         }
     });
     let connection = http1::Builder::new()
+        .title_case_headers(true)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -8,27 +8,49 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::time::timeout;
 
-/// How long a connection is silent before it is probed.
-const PROBE_AFTER: Duration = Duration::from_secs(1);
-/// The time between two probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// How many connections wait to be accepted.
+const ACCEPT_BACKLOG: i32 = 4_096;
+
 /// How many probes go without an answer before a connection is dead.
 const PROBES: u32 = 2;
-/// How long sent bytes go without an acknowledgement before it is dead.
-const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
-/// How many connections wait to be accepted.
-const ACCEPT_BACKLOG: i32 = 1_024;
 
-/// Sets the timeouts that find a dead connection.
-pub fn watch(stream: &TcpStream) -> io::Result<()> {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(PROBE_AFTER)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(PROBES);
-    socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+/// After which times a connection counts as dead.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Watch {
+    /// How long it is silent before it is probed.
+    pub probe_after: Duration,
+    /// The time between two probes.
+    pub probe_interval: Duration,
+    /// How long sent bytes go without an acknowledgement.
+    pub unacknowledged: Duration,
+}
+
+impl Default for Watch {
+    fn default() -> Self {
+        Self {
+            probe_after: Duration::from_secs(1),
+            probe_interval: Duration::from_secs(1),
+            unacknowledged: Duration::from_secs(3),
+        }
+    }
+}
+
+impl Watch {
+    /// Sets the timeouts on a connection.
+    ///
+    /// # Errors
+    ///
+    /// Where the system does not take one of them.
+    pub fn set(&self, stream: &TcpStream) -> io::Result<()> {
+        let socket = SockRef::from(stream);
+        let keepalive = TcpKeepalive::new()
+            .with_time(self.probe_after)
+            .with_interval(self.probe_interval)
+            .with_retries(PROBES);
+        socket.set_tcp_nodelay(true)?;
+        socket.set_tcp_keepalive(&keepalive)?;
+        socket.set_tcp_user_timeout(Some(self.unacknowledged))
+    }
 }
 
 /// Opens a connection within `patience`.
@@ -41,7 +63,7 @@
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     // A connection that cannot be watched still carries requests.
-    let _ = watch(&stream);
+    let _ = Watch::default().set(&stream);
     Ok(stream)
 }
 
@@ -51,12 +73,21 @@
 ///
 /// Where the address is taken or not this machine's.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::from_std(bind(address)?)
+}
+
+/// Listens for connections outside of a runtime.
+///
+/// # Errors
+///
+/// Where the address is taken or not this machine's.
+pub fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(ACCEPT_BACKLOG)?;
-    TcpListener::from_std(socket.into())
+    Ok(socket.into())
 }
 
 /// Opens a socket for datagrams.
