Let half-sent heads go at their own limit

Cause: HeaderTimeoutMs was read and used by nothing; a head that stays half sent held its connection for the idle time.

Change: a connection notes when the first byte of a head comes; a head that takes longer than its limit ends the connection. What has arrived is read before that is judged, so that a thawed process loses no whole request. plan::Service::is_engine, which nothing used, is gone.

Ruled out: hyper's own limit for heads. It runs from the end of the last answer, and would end idle connections long before IdleTimeoutMs.

--- a/crates/core/src/entry/plan.rs
+++ b/crates/core/src/entry/plan.rs
@@ -114,8 +114,6 @@
 pub struct Service {
     /// Its identifier.
     pub id: id::Service,
-    /// Whether its upstreams are model engines.
-    pub is_engine: bool,
     /// How many tokens one event of a stream holds.
     pub tokens_per_event: u32,
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -232,7 +232,12 @@
 
 fn serve(http: TcpListener, gateway: Rc<Gateway>, idle: Duration) -> eyre::Result<Front> {
     let front = Front { phase: watch::channel(Phase::Serving).0, open: Rc::default() };
-    let limits = Limits { head_bytes: MAX_HEAD_BYTES, idle_time: idle, ..Limits::default() };
+    let limits = Limits {
+        head_bytes: MAX_HEAD_BYTES,
+        head_time: idle,
+        idle_time: idle,
+        ..Limits::default()
+    };
     let options = server::Options {
         max_connections: MAX_CONNECTIONS,
         watch: Watch {
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -3,8 +3,10 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
-use std::pin::pin;
+use std::io;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
@@ -13,6 +15,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use rosemarypond_core::entry::plan::Limits;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -58,6 +61,8 @@
 struct Activity {
     requests: Cell<u32>,
     last: RefCell<Instant>,
+    /// When the first byte of a head came that is not whole yet.
+    head_since: Cell<Option<Instant>>,
 }
 
 impl Activity {
@@ -67,6 +72,65 @@
         }
         clock::now().saturating_duration_since(*self.last.borrow())
     }
+
+    /// How long a head has been on its way.
+    fn head_time(&self) -> Duration {
+        let since = self.head_since.get();
+        since.map_or(Duration::ZERO, |since| clock::now().saturating_duration_since(since))
+    }
+}
+
+/// A connection that notes when a head begins to arrive.
+struct Noted {
+    stream: TcpStream,
+    activity: Rc<Activity>,
+}
+
+impl AsyncRead for Noted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let activity = &self.activity;
+        let is_head = activity.requests.get() == 0 && buffer.filled().len() > before;
+        if is_head && activity.head_since.get().is_none() {
+            activity.head_since.set(Some(clock::now()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Noted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
 }
 
 /// Marks a request as being served, until it is dropped.
@@ -75,6 +139,7 @@
 impl Busy {
     fn new(activity: Rc<Activity>) -> Self {
         activity.requests.set(activity.requests.get() + 1);
+        activity.head_since.set(None);
         Self(activity)
     }
 }
@@ -124,7 +189,12 @@
     // A connection that cannot be watched still carries requests.
     let _ = options.watch.set(&stream);
     let limits = (options.limits)();
-    let activity = Rc::new(Activity { requests: Cell::new(0), last: RefCell::new(clock::now()) });
+    let activity = Rc::new(Activity {
+        requests: Cell::new(0),
+        last: RefCell::new(clock::now()),
+        head_since: Cell::new(None),
+    });
+    let stream = Noted { stream, activity: activity.clone() };
     let phase = options.phase.clone();
     let serving = activity.clone();
     let service = service_fn(move |request| {
@@ -150,6 +220,8 @@
     let mut is_closing = false;
     loop {
         tokio::select! {
+            // What has arrived goes before the judgement that nothing did.
+            biased;
             // An error concerns this connection only, which ends with it.
             _ = connection.as_mut() => return,
             () = reached(&mut phase, Phase::Closing), if !is_closing => {
@@ -157,7 +229,11 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = sleep(IDLE_CHECK), if !is_closing => {
-                if activity.idle_time() > (options.limits)().idle_time {
+                let limits = (options.limits)();
+                if activity.head_time() > limits.head_time {
+                    return;
+                }
+                if activity.idle_time() > limits.idle_time {
                     is_closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
