Let few instances of a zone ask the store, and the others hear it from them

Change: beyond 16 instances two lookouts of each zone ask. Gossip carries which configuration and which state of the directory is the newest, as of which time of the store's clock (core::entry::news). An instance reads content only where it changed, gathers changes for a moment, and asks itself where it hears nothing fresh. A time of the store's clock counts as the earliest that it can be on the own clock (proof::Offset now knows both bounds), so that a message that was held up proves nothing more.

Ruled out: the sender's age of its proof in place of the store's time. A datagram that lay in a frozen process would make a stale proof fresh.

--- a/crates/core/src/entry/gossip.rs
+++ b/crates/core/src/entry/gossip.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use super::news::News;
 use super::pace::Pace;
 use crate::id;
 use crate::unit::Tokens;
@@ -39,4 +40,6 @@
     pub loads: Vec<Load>,
     /// What it admitted since its start, a team.
     pub admitted: Vec<(id::Team, u64)>,
+    /// What it knows of the store that all share.
+    pub news: News,
 }
--- a/crates/core/src/entry/proof.rs
+++ b/crates/core/src/entry/proof.rs
@@ -47,33 +47,54 @@
 
 /// Turns the times of another steady clock into this machine's.
 ///
-/// An answer comes after it was made: the least difference ever seen between
-/// the time of its arrival and the time that it states is the closest to that
-/// of the clocks, and a time that is turned with it is never much too late.
+/// An answer is made after it was asked for and before it arrives: each answer
+/// bounds the difference of the two clocks from both sides.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Offset {
     least: Option<i128>,
+    most: Option<i128>,
 }
 
 impl Offset {
-    /// Takes an answer that states `stated` and came at `arrived`; gives the
-    /// time on this machine's clock at which it was made at the earliest.
+    /// Takes into account an answer that states `stated`.
     ///
     /// ```
     /// use std::time::Duration;
     /// use rosemarypond_core::entry::proof::{Offset, Uptime};
     /// let ms = |ms| Duration::from_millis(ms);
+    /// let up = |of| Uptime(ms(of));
     /// let mut offset = Offset::default();
-    /// assert_eq!(offset.made_at(ms(100), Uptime(ms(5_002))), Uptime(ms(5_002)));
+    /// assert_eq!(offset.latest(ms(100)), None);
+    /// offset.answered(ms(100), up(5_000), up(5_008));
+    /// assert_eq!(offset.earliest(ms(100)), Some(up(5_000)));
+    /// assert_eq!(offset.latest(ms(100)), Some(up(5_008)));
     /// // Held up on the way for 900 ms.
-    /// assert_eq!(offset.made_at(ms(200), Uptime(ms(6_002))), Uptime(ms(5_102)));
+    /// offset.answered(ms(200), up(5_101), up(6_002));
+    /// assert_eq!(offset.earliest(ms(200)), Some(up(5_101)));
+    /// assert_eq!(offset.latest(ms(200)), Some(up(5_108)));
     /// ```
-    pub fn made_at(&mut self, stated: Duration, arrived: Uptime) -> Uptime {
+    pub fn answered(&mut self, stated: Duration, asked: Uptime, arrived: Uptime) {
         let stated = stated.as_nanos() as i128;
-        let difference = arrived.0.as_nanos() as i128 - stated;
-        let least = self.least.map_or(difference, |least| least.min(difference));
-        self.least = Some(least);
-        let nanos = u64::try_from(stated + least).unwrap_or_default();
-        Uptime(Duration::from_nanos(nanos))
+        let (least, most) =
+            (asked.0.as_nanos() as i128 - stated, arrived.0.as_nanos() as i128 - stated);
+        self.least = Some(self.least.map_or(least, |known| known.max(least)));
+        self.most = Some(self.most.map_or(most, |known| known.min(most)));
     }
+
+    /// The earliest that a time of the other clock can be on this machine's;
+    /// none before the first answer.
+    pub fn earliest(&self, stated: Duration) -> Option<Uptime> {
+        self.least.map(|least| turn(stated, least))
+    }
+
+    /// The latest that a time of the other clock can be on this machine's;
+    /// none before the first answer.
+    pub fn latest(&self, stated: Duration) -> Option<Uptime> {
+        self.most.map(|most| turn(stated, most))
+    }
+}
+
+fn turn(stated: Duration, difference: i128) -> Uptime {
+    let nanos = u64::try_from(stated.as_nanos() as i128 + difference).unwrap_or_default();
+    Uptime(Duration::from_nanos(nanos))
 }
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -11,6 +11,7 @@
 use super::call::{Call, Ended, Reason};
 use super::fleet::{Choice, Fleet};
 use super::gossip::Gossip;
+use super::news::News;
 use super::plan::Plan;
 use super::quota::{Counting, Quota};
 use super::upstream::{Listed, Place};
@@ -69,6 +70,8 @@
     Unlisted(id::Upstream),
     /// A peer is listed in its availability zone.
     Expected(id::Instance, id::Zone),
+    /// The store that all share was asked.
+    Learnt(News),
     /// A peer told its state.
     Heard(Gossip),
     /// The instance is to stop; peers are told.
@@ -102,6 +105,8 @@
         /// When its caller may come back.
         retry_after: Duration,
     },
+    /// Take into account what is known of the store that all share.
+    Note(News),
     /// Tell the peers.
     Tell {
         /// Who hears it.
@@ -143,6 +148,7 @@
     budget: Budget,
     held: HashMap<id::Request, Held>,
     peers: BTreeMap<id::Instance, Peer>,
+    news: News,
     started: Option<Instant>,
     sequence: u64,
     last_gossip: Option<Instant>,
@@ -164,6 +170,7 @@
             backlog: Backlog::default(),
             held: HashMap::new(),
             peers: BTreeMap::new(),
+            news: News::default(),
             started: None,
             sequence: 0,
             last_gossip: None,
@@ -189,6 +196,7 @@
                 self.fleet.remove(&upstream);
             }
             Event::Expected(peer, zone) => self.expected(now, peer, zone),
+            Event::Learnt(news) => self.learnt(&news),
             Event::Heard(gossip) => self.heard(now, gossip),
             Event::Stop => self.stop(now),
             Event::Tick => self.tick(now),
@@ -200,6 +208,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// What is known of the store that all share.
+    pub fn news(&self) -> News {
+        self.news
+    }
+
     /// The upstreams.
     pub fn fleet(&self) -> &Fleet {
         &self.fleet
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -5,7 +5,9 @@
 
 use super::{Action, Audience, Scheduler};
 use crate::entry::gossip::Gossip;
-use crate::entry::upstream::Sight;
+use crate::entry::news::{LOOKOUTS, News};
+use crate::entry::upstream::{Place, Sight};
+use crate::hash::spread;
 use crate::id;
 
 /// The shortest time between two messages to the same peers.
@@ -76,6 +78,7 @@
             admitted: gossip.admitted.into_iter().collect(),
         };
         self.peers.insert(gossip.from, peer);
+        self.learnt(&gossip.news);
         self.place_waiting(now);
     }
 
@@ -95,6 +98,29 @@
         });
     }
 
+    /// Takes over what this instance or a peer read in the store, and passes
+    /// it on.
+    pub(super) fn learnt(&mut self, news: &News) {
+        self.is_changed |= news.has_changed_since(&self.news);
+        if self.news.merge(news) {
+            self.actions.push(Action::Note(self.news));
+        }
+    }
+
+    /// Whether this instance asks the store that all share whether anything
+    /// changed: where many serve, a few of each availability zone do.
+    pub fn is_lookout(&self) -> bool {
+        if self.is_wide() {
+            return true;
+        }
+        let Place { instance, zone } = &self.options.place;
+        let own = spread(instance.as_str());
+        let goes_before = |(id, peer): &(&id::Instance, &Peer)| {
+            peer.zone == *zone && !peer.is_quiet && !peer.leaving && spread(id.as_str()) < own
+        };
+        self.peers.iter().filter(goes_before).count() < LOOKOUTS
+    }
+
     pub(super) fn quiet_peers(&mut self, now: Instant) {
         for (id, peer) in &mut self.peers {
             let silence = now.saturating_duration_since(peer.heard);
@@ -156,12 +182,14 @@
             leaving: self.is_stopping,
             loads: if is_near { self.fleet.loads() } else { vec![] },
             admitted: self.quota.admitted().map(|(t, c)| (t.clone(), c)).collect(),
+            news: self.news,
         };
         self.actions.push(Action::Tell { audience, gossip });
     }
 
-    /// Whether the state of upstreams is told to all peers.
-    fn is_wide(&self) -> bool {
+    /// Whether so few serve that each tells its state to all peers, and asks
+    /// the shared store itself.
+    pub fn is_wide(&self) -> bool {
         self.instances() <= MAX_WIDE_INSTANCES
     }
 
--- a/crates/core/tests/entry/random.rs
+++ b/crates/core/tests/entry/random.rs
@@ -61,7 +61,7 @@
                 assert!(!request.is_over && !request.is_running);
                 request.is_over = true;
             }
-            Action::Tell { .. } => {}
+            Action::Note(_) | Action::Tell { .. } => {}
         }
     }
 }
--- a/crates/core/tests/entry/site.rs
+++ b/crates/core/tests/entry/site.rs
@@ -5,6 +5,7 @@
 use rosemarypond_core::entry::budget::Allowance;
 use rosemarypond_core::entry::call::{Call, Ended, Reason, Repeat};
 use rosemarypond_core::entry::gossip::Gossip;
+use rosemarypond_core::entry::news::News;
 use rosemarypond_core::entry::quota::Counting;
 use rosemarypond_core::entry::scheduler::{Action, Event, Options, Scheduler};
 use rosemarypond_core::entry::upstream::{Listed, Place};
@@ -105,7 +106,7 @@
     pub fn handle(&mut self, event: Event) -> Vec<Action> {
         self.scheduler.handle(self.now, event);
         let mut actions = self.scheduler.take_actions();
-        actions.retain(|a| !matches!(a, Action::Tell { .. }));
+        actions.retain(|a| !matches!(a, Action::Tell { .. } | Action::Note(_)));
         actions
     }
 
@@ -132,6 +133,7 @@
             leaving: false,
             loads: vec![],
             admitted: vec![],
+            news: News::default(),
         }
     }
 }
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::{Request, Response, http};
+use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::call::{Call, Reason};
 use rosemarypond_core::entry::plan::{Denial, Limits, Match, Plan};
 use rosemarypond_core::entry::proof::Proof;
@@ -113,7 +114,7 @@
 
     /// Puts a plan in force, unless it is older than the one that is.
     pub fn configure(&self, plan: Plan) {
-        let current = self.plan.borrow().as_ref().map(|p| p.version);
+        let current = self.plan_version();
         if current.is_some_and(|version| version >= plan.version) {
             return;
         }
@@ -131,6 +132,16 @@
         self.proof.set(proof);
     }
 
+    /// The version of the plan in force.
+    pub fn plan_version(&self) -> Option<Version> {
+        self.plan.borrow().as_ref().map(|plan| plan.version)
+    }
+
+    /// How long ago the plan in force was known to be the newest.
+    pub fn proof_age(&self) -> Option<Duration> {
+        self.proof.get().age(clock::uptime())
+    }
+
     /// Whether requests with credentials are taken.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping.get() && self.plan.borrow().is_some() && self.is_proven()
@@ -230,7 +241,7 @@
             _ => "denied",
         };
         self.metrics.answered(how);
-        let age = self.proof.get().age(clock::uptime()).map(|age| age.as_millis() as u64);
+        let age = self.proof_age().map(|age| age.as_millis() as u64);
         info!(self.log, "turned down"; "request" => &head.request, "how" => how,
             "proof_age_ms" => age);
         Err(refusal)
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::gossip::{Gossip, Load};
+use rosemarypond_core::entry::news::News;
 use rosemarypond_core::entry::pace::Pace;
 use rosemarypond_core::entry::scheduler::{Audience, Event};
 use rosemarypond_core::id;
@@ -121,6 +123,10 @@
             .into_iter()
             .map(|(team, total)| wire::Admitted { team: team.into(), total })
             .collect(),
+        plan: gossip.news.plan.0,
+        plan_at_ms: gossip.news.plan_at.as_millis() as u64,
+        directory: gossip.news.directory,
+        directory_at_ms: gossip.news.directory_at.as_millis() as u64,
     }
 }
 
@@ -152,5 +158,11 @@
             .into_iter()
             .filter_map(|a| Some((a.team.parse().ok()?, a.total)))
             .collect(),
+        news: News {
+            plan: Version(message.plan),
+            plan_at: Duration::from_millis(message.plan_at_ms),
+            directory: message.directory,
+            directory_at: Duration::from_millis(message.directory_at_ms),
+        },
     })
 }
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -7,12 +7,13 @@
 
 use rosemarypond_core::entry::call::{Call, Ended, Reason};
 use rosemarypond_core::entry::gossip::Gossip;
+use rosemarypond_core::entry::news::News;
 use rosemarypond_core::entry::node::Node;
 use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler};
 use rosemarypond_core::entry::upstream::Listed;
 use rosemarypond_core::id;
 use stakker::{actor, ret_nop};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::actor::Host;
 use crate::clock;
@@ -53,6 +54,7 @@
     host: Host<Node, Action>,
     waiters: RefCell<HashMap<id::Request, mpsc::UnboundedSender<Directive>>>,
     gossip: mpsc::UnboundedSender<Told>,
+    news: watch::Sender<News>,
 }
 
 /// Gives events to the scheduler and carries its actions to those concerned.
@@ -65,7 +67,8 @@
         let host =
             Host::start(|stakker, sink| actor!(stakker, Node::init(options, sink), ret_nop!()));
         let (gossip, told) = mpsc::unbounded_channel();
-        let inner = Inner { host, waiters: RefCell::default(), gossip };
+        let news = watch::channel(News::default()).0;
+        let inner = Inner { host, waiters: RefCell::default(), gossip, news };
         (Self(Rc::new(inner)), told)
     }
 
@@ -92,6 +95,11 @@
         Directives { id, handle: self.clone(), receiver, is_over: false }
     }
 
+    /// What peers know of the store that all share.
+    pub fn news(&self) -> watch::Receiver<News> {
+        self.0.news.subscribe()
+    }
+
     /// Asks the scheduler.
     pub fn ask<T>(&self, look: impl FnOnce(&mut Scheduler) -> T) -> Option<T> {
         self.0.host.ask(|node| look(node.scheduler()))
@@ -111,6 +119,7 @@
             Action::Refuse { request, reason, retry_after } => {
                 self.direct(request, Directive::Refuse { reason, retry_after });
             }
+            Action::Note(news) => drop(self.0.news.send_replace(news)),
             // The receiver lives as long as the thread.
             Action::Tell { audience, gossip } => {
                 drop(self.0.gossip.send(Told { audience, gossip }));
