Cut a broken stream of a repeatable request instead of starting it over

Cause: a request of a safe route may run again, and its answer may be an event stream. Where such a stream broke after its head was passed on, the scheduler sent the request to another upstream, whose stream was passed on behind the first one's events: filtered by number where events have one, mixed where they have none.

Change: only resumable streams go on elsewhere. Ended::Cut ends a request whose answer was passed on in part, and counts against the upstream.

Ruled out: filtering by number alone. Events without numbers pass it.

Test: torn_stream_of_a_repeatable_request_is_cut.

--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -88,6 +88,9 @@
     Failed,
     /// The answer broke off or was not one; the request may have run.
     Broken,
+    /// The answer broke off after a part of it was passed on that no other
+    /// upstream can go on with; the request is over.
+    Cut,
     /// The caller left.
     Abandoned,
 }
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -271,7 +271,7 @@
             }
         }
         match how {
-            Ended::Whole { .. } | Ended::Abandoned => self.forget(id, how),
+            Ended::Whole { .. } | Ended::Cut | Ended::Abandoned => self.forget(id, how),
             Ended::NotSent | Ended::NotRun { .. } | Ended::Failed | Ended::Broken => {
                 self.go_on(now, id, how);
             }
@@ -289,7 +289,9 @@
                 self.fleet.note_outcome(upstream, true, now);
                 self.fleet.rejected(upstream, now);
             }
-            Ended::Failed | Ended::Broken => self.fleet.note_outcome(upstream, true, now),
+            Ended::Failed | Ended::Broken | Ended::Cut => {
+                self.fleet.note_outcome(upstream, true, now);
+            }
             Ended::Abandoned => {}
         }
     }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -340,6 +340,7 @@
         Ended::NotRun { misdirected: false } => "not-run",
         Ended::Failed => "failed",
         Ended::Broken => "broken",
+        Ended::Cut => "cut",
         Ended::Abandoned => "abandoned",
     }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -98,6 +98,11 @@
                     return;
                 }
                 Part::TimedOut => break,
+                Part::Broken if self.call.repeat != Repeat::Resumable => {
+                    self.note_failed(&upstream, Ended::Cut);
+                    directives.ended(Ended::Cut);
+                    break;
+                }
                 Part::Broken => {
                     self.note_failed(&upstream, Ended::Broken);
                     directives.ended(Ended::Broken);
@@ -187,7 +192,6 @@
         loop {
             let directive = next_directive(directives, caller).await?;
             let Directive::Send { upstream, expected, .. } = directive else { return None };
-            debug_assert_eq!(self.call.repeat, Repeat::Resumable);
             let last = progress.last.as_deref();
             match self.try_upstream(&upstream, expected, last, directives, caller).await {
                 Tried::Stream(opened) => return Some((*opened, upstream)),
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -169,7 +169,7 @@
 
     /// Notes how a try ended.
     pub fn ended(&mut self, how: Ended) {
-        if matches!(how, Ended::Whole { .. } | Ended::Abandoned) {
+        if matches!(how, Ended::Whole { .. } | Ended::Cut | Ended::Abandoned) {
             self.is_over = true;
         }
         self.handle.event(Event::Ended(self.id, how));
