Give few instances that restart together a part of the saved quota again

Change: up to 16 instances, which see each other's admissions within some 30 ms, have a quarter of the tolerance or half of the burst saved, as before; more have nothing.

Test: quota_is_there_at_once_where_few_restart.

--- a/crates/core/src/entry/quota.rs
+++ b/crates/core/src/entry/quota.rs
@@ -22,6 +22,13 @@
 /// The part of the tolerance that a team may save up beside its burst.
 const SAVED_PART: f64 = 0.5;
 
+/// The part of the tolerance that a team has saved where few instances start
+/// anew.
+const JOINING_PART: f64 = 0.25;
+
+/// So many instances see each other's admissions almost at once.
+const FEW_INSTANCES: usize = 16;
+
 /// What was admitted in the last window.
 #[derive(Clone, Debug)]
 struct Usage {
@@ -30,12 +37,14 @@
     sum: f64,
     /// What may be used at once.
     level: f64,
+    /// What is saved if few instances turn out to be at work.
+    saved: Option<f64>,
     filled: Instant,
 }
 
 impl Usage {
     fn new(limit: Limit, level: f64, now: Instant) -> Self {
-        Self { limit, steps: VecDeque::new(), sum: 0.0, level, filled: now }
+        Self { limit, steps: VecDeque::new(), sum: 0.0, level, saved: None, filled: now }
     }
 
     fn fill(&mut self, now: Instant, share: f64, capacity: f64) {
@@ -67,6 +76,7 @@
     fn assume_rate(&mut self, now: Instant, counting: Counting) {
         let cost = self.limit.rate * STEP.as_secs_f64();
         self.level = 0.0;
+        self.saved = Some((self.limit.burst / 2.0).min(counting.tolerance * JOINING_PART));
         let mut age = counting.window;
         while age >= STEP {
             if let Some(at) = now.checked_sub(age) {
@@ -118,20 +128,21 @@
     counting: Counting,
     usages: HashMap<id::Team, Usage>,
     admitted: HashMap<id::Team, u64>,
+    instances: usize,
 }
 
 impl Quota {
     /// Quotas of which nothing is used yet.
     pub fn new(counting: Counting) -> Self {
-        Self { counting, usages: HashMap::new(), admitted: HashMap::new() }
+        Self { counting, usages: HashMap::new(), admitted: HashMap::new(), instances: 1 }
     }
 
     /// Takes over the limits of a plan; what was used stays used.
     ///
     /// An instance that joins a system at work knows nothing of the last
-    /// window: it takes it that each team used its whole rate, and nothing is
-    /// left to be used at once. What each of many instances granted before it
-    /// hears the others would add up. See [`Quota::vouched`].
+    /// window: it takes it that each team used its whole rate, and has little
+    /// saved, or nothing where many instances serve: what each of them granted
+    /// before it hears the others would add up. See [`Quota::vouched`].
     pub fn configure(&mut self, plan: &Plan, joins: bool, now: Instant) {
         let limits: HashMap<_, _> =
             plan.teams().filter_map(|t| Some((t.id.clone(), t.quota?))).collect();
@@ -168,6 +179,9 @@
         let Counting { window, .. } = self.counting;
         let capacity = self.counting.capacity(usage.limit);
         usage.forget(now, window);
+        if let Some(saved) = usage.saved.take_if(|_| self.instances <= FEW_INSTANCES) {
+            usage.level += saved;
+        }
         usage.fill(now, share, capacity);
         let needed = f64::from(cost.0).min(capacity);
         if usage.level < needed {
@@ -206,15 +220,20 @@
         }
     }
 
+    /// Notes how many instances may be at work.
+    pub fn set_instances(&mut self, instances: usize) {
+        self.instances = instances;
+    }
+
     /// Takes into account a peer that has been at work for longer than a
-    /// window: not all instances start anew, and `part` of what teams may have
-    /// saved is there.
-    pub fn vouched(&mut self, part: f64, now: Instant) {
-        let counting = self.counting;
+    /// window: not all instances start anew, and an equal part of what teams
+    /// may have saved is there.
+    pub fn vouched(&mut self, now: Instant) {
+        let (counting, all) = (self.counting, self.instances.max(1) as f64);
         for usage in self.usages.values_mut() {
             let capacity = counting.capacity(usage.limit);
             usage.fill(now, 0.0, capacity);
-            usage.level = (usage.level + capacity * part).min(capacity);
+            usage.level = (usage.level + capacity / all).min(capacity);
         }
     }
 
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -226,6 +226,7 @@
     fn arrived(&mut self, now: Instant, call: Call) {
         if let Some(team) = &call.team {
             let share = self.quota_share();
+            self.quota.set_instances(self.instances());
             if let Err(wait) = self.quota.admit(team, call.cost, now, share) {
                 let retry_after = self.spread_retry(&call, wait, now);
                 self.refuse_with(call.id, Reason::Quota, retry_after);
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -65,8 +65,8 @@
             self.quota.admitted_elsewhere(team, total.saturating_sub(seen), now);
         }
         if before.is_none() && !is_young && self.options.joins {
-            let all = self.instances() as f64;
-            self.quota.vouched(1.0 / all, now);
+            self.quota.set_instances(self.instances());
+            self.quota.vouched(now);
         }
         let peer = Peer {
             incarnation: gossip.incarnation,
--- a/crates/core/tests/entry/limits.rs
+++ b/crates/core/tests/entry/limits.rs
@@ -149,14 +149,14 @@
     };
     let mut site = Site { scheduler: Scheduler::new(options), ..site };
     site.list("e1", 4);
-    for peer in 0..9 {
+    for peer in 0..19 {
         site.handle(Event::Expected(name(&format!("b{peer}")), name("z1")));
     }
     site.handle(Event::Configured(Arc::new(plan(Some(LIMIT)))));
-    let call = |site: &Site, id| Call { team: Some(name("a")), cost: Tokens(50), ..site.call(id) };
+    let call = |site: &Site, id| Call { team: Some(name("a")), cost: Tokens(60), ..site.call(id) };
     let early = call(&site, 1);
     assert_eq!(refusals(&site.arrive(early)), [(1, Reason::Quota)]);
-    for peer in 0..9 {
+    for peer in 0..19 {
         let gossip = site.gossip(&format!("b{peer}"), 1);
         site.handle(Event::Heard(gossip));
         if peer == 0 {
@@ -169,6 +169,21 @@
     assert!(refusals(&site.arrive(heard)).is_empty());
 }
 
+/// Instances start again together: where they are few, a team that is within
+/// its quota is served at once; where they are many, from its rate on.
+fn quota_of_few_that_restart(site: Site) {
+    let counting = Counting { window: WINDOW, tolerance: 4_000.0 };
+    let limit = Limit { rate: 1_000.0, burst: 2_000.0 };
+    let admit = |instances| {
+        let mut quota = Quota::new(counting);
+        quota.configure(&plan(Some(limit)), true, site.now);
+        quota.set_instances(instances);
+        quota.admit(&name("a"), Tokens(900), site.now, 1.0)
+    };
+    assert_eq!(admit(7), Ok(()));
+    assert_eq!(admit(88), Err(ms(900)));
+}
+
 fn quota_on_both_sides_of_a_cut(site: Site) {
     let one = greedy(&mut quota(0.0, false, site.now), site.now, 400, 0.5);
     let other = greedy(&mut quota(0.0, false, site.now), site.now, 400, 0.5);
@@ -291,6 +306,7 @@
     quota_is_kept_in_each_window => quota_holds_in_each_window;
     quota_stays_within_its_tolerance_around_a_restart => quota_around_a_restart_of_all;
     quota_is_kept_by_many_that_restart => quota_of_many_that_restart;
+    quota_is_there_at_once_where_few_restart => quota_of_few_that_restart;
     quota_is_known_by_peers_of_one_that_restarts => quota_of_one_that_restarts;
     quota_is_kept_on_both_sides_of_a_cut => quota_on_both_sides_of_a_cut;
     quota_counts_what_peers_admit => quota_counts_peers;
