Let what a caller sends ahead not end its running stream

Cause: the limit for heads counted from the first byte that came while no service worked on a request. The service is done when a stream's head is sent, so that a caller that sent half a head ahead had its stream cut at that limit (found in reading hyper's ways while tracing another failure).

Change: a request is being served until the body of its answer is sent.

Ruled out: a graceful end of the connection in place of the cut. hyper keeps a connection with half a head open then (half_sent_head_is_let_go failed).

Test: half_a_head_sent_ahead_does_not_end_a_stream failed before.

--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -138,6 +138,9 @@
 
 fn zone_cut() {
     let site = Site::start(&["accra-a", "accra-b"]);
+    site.wait_until("they know of each other", |site| {
+        site.operate(1, "/operator/query", "count config over all").json()["count"] == 2
+    });
     // From accra-b nothing but its own zone moves any more.
     site.platform.signal("STOP");
     site.daemons[0].process.signal("STOP");
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -9,7 +9,7 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -151,6 +151,32 @@
     }
 }
 
+/// The body of an answer, whose request is being served until it is sent.
+struct Serving {
+    reply: Reply,
+    _busy: Busy,
+}
+
+impl Body for Serving {
+    type Data = <Reply as Body>::Data;
+    type Error = <Reply as Body>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        Pin::new(&mut self.reply).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.reply.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.reply.size_hint()
+    }
+}
+
 /// Serves connections until the server closes.
 pub async fn serve<F, S>(listener: TcpListener, options: Options, service: S)
 where
@@ -202,13 +228,12 @@
         let response = service(request);
         let phase = phase.clone();
         async move {
-            let _busy = busy;
             let mut response = response.await;
             if *phase.borrow() >= Phase::Leaving {
                 let close = hyper::header::HeaderValue::from_static("close");
                 response.headers_mut().insert(hyper::header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|reply| Serving { reply, _busy: busy }))
         }
     });
     let connection = http1::Builder::new()
