Log which prompt parts an upstream was answering when its connection ended

Each attempt whose connection ends before its answer is complete is now logged with its team and the shared parts of its prompt, and counted (lost_connections). No decision changes.

--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -1,5 +1,6 @@
 //! A request as the scheduler sees it, from its arrival to its final answer.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::id;
@@ -60,6 +61,8 @@
     pub answer: Tokens,
     /// The tokens that it counts against its team's quota.
     pub cost: Tokens,
+    /// The parts of its prompt that other requests may share.
+    pub shared_parts: Arc<[id::Part]>,
 }
 
 impl Call {
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -160,3 +160,7 @@
     /// One run of an instance; after a restart it has a higher number.
     Incarnation
 );
+number_id!(
+    /// A part of a prompt, which requests may share.
+    Part
+);
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -6,6 +6,7 @@
 use hyper::{Response, http};
 use rosemarypond_core::entry::call::Reason;
 use rosemarypond_core::entry::upstream::Registration;
+use rosemarypond_core::id;
 use rosemarypond_core::unit::Tokens;
 
 /// What is read from the head of a caller's request.
@@ -25,6 +26,8 @@
     pub answer: Tokens,
     /// What it counts against its team's quota, where its head states that.
     pub cost: Option<Tokens>,
+    /// The parts of its prompt that other requests may share.
+    pub shared_parts: Vec<id::Part>,
     /// The id of the event after which a resumed stream continues.
     pub resume_after: Option<String>,
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, http};
 use rosemarypond_core::entry::call::{Call, Ended, Reason, Repeat};
@@ -89,6 +89,8 @@
     pub body: Incoming,
     /// The connection that it arrives on.
     pub connection: Connection,
+    /// When its request was sent.
+    pub started: Instant,
     /// The time without an event after which the stream may be rerouted, if ever.
     pub stall_timeout: Option<Duration>,
 }
@@ -197,7 +199,10 @@
         let response = match head {
             Ok(response) => response,
             Err(pool::Error::NotSent) => return Outcome::Failed(Ended::NotSent, None),
-            Err(pool::Error::Broken) => return self.broken(),
+            Err(pool::Error::Broken) => {
+                self.record_lost_connection(upstream, started);
+                return self.broken();
+            }
         };
         self.read_answer(upstream, response, connection, reroute_at, started, caller).await
     }
@@ -221,7 +226,7 @@
         }
         if meaning == Meaning::Success && is_event_stream(&parts) {
             let stall_timeout = reroute_at.map(|at| at - started);
-            let stream = Stream { parts, body, connection, stall_timeout };
+            let stream = Stream { parts, body, connection, started, stall_timeout };
             return Outcome::Stream(Box::new(stream));
         }
         let may_cancel = self.call.repeat.may_run_again() || self.route.is_stream;
@@ -235,7 +240,12 @@
         let bytes = match whole {
             Ok(whole) => whole.to_bytes(),
             Err(_) if matches!(meaning, Meaning::NotRun { .. }) => Bytes::new(),
-            Err(_) => return self.broken(),
+            Err(error) => {
+                if !error.is::<LengthLimitError>() {
+                    self.record_lost_connection(upstream, started);
+                }
+                return self.broken();
+            }
         };
         self.keep(connection, &parts);
         self.outcome_of(meaning, parts, bytes)
@@ -369,6 +379,17 @@
             "ms" => self.elapsed_ms());
     }
 
+    /// Logs and counts an attempt whose connection ended before its answer.
+    pub fn record_lost_connection(&self, upstream: &Registration, started: Instant) {
+        self.gateway.metrics.lost_connections.inc();
+        let parts: Vec<_> = self.call.shared_parts.iter().map(|part| part.to_string()).collect();
+        let ms = clock::now().saturating_duration_since(started).as_millis() as u64;
+        info!(self.gateway.log, "connection ended before the answer was complete";
+            "request" => &self.head.request, "upstream" => upstream.id.as_str(), "ms" => ms,
+            "team" => self.team.as_ref().map(|t| t.id.as_str()),
+            "shared_parts" => parts.join(","));
+    }
+
     /// Logs and counts a request whose caller disconnected.
     pub fn record_caller_left(&self) {
         self.gateway.metrics.count_answer("caller-left");
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -307,6 +307,7 @@
             prompt: head.prompt,
             answer: head.answer,
             cost: head.cost.unwrap_or(Tokens(default_cost)),
+            shared_parts: head.shared_parts.as_slice().into(),
         })
     }
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -22,6 +22,8 @@
     pub sends: Counter,
     /// Attempts that ended without a whole answer, by how they ended.
     pub failed_attempts: ByHow,
+    /// Connections to upstreams that ended before the answer was complete.
+    pub lost_connections: Counter,
     /// Seconds until the first byte or event of an answer.
     pub first_seconds: Histogram,
     /// Open connections from callers.
@@ -40,6 +42,7 @@
             answers: ByHow::default(),
             sends: Counter::default(),
             failed_attempts: ByHow::default(),
+            lost_connections: Counter::default(),
             first_seconds: Histogram::new(exponential_buckets(0.01, 2.0, 11)),
             connections: Gauge::default(),
             held_body_bytes: Gauge::default(),
@@ -50,6 +53,11 @@
         registry.register("answers", "Final answers", metrics.answers.clone());
         registry.register("sends", "Requests sent to upstreams", metrics.sends.clone());
         registry.register("failed_tries", "Tries that failed", metrics.failed_attempts.clone());
+        registry.register(
+            "lost_connections",
+            "Connections to upstreams that ended before the answer was complete",
+            metrics.lost_connections.clone(),
+        );
         registry.register("first_seconds", "First byte or event", metrics.first_seconds.clone());
         registry.register("connections", "Open connections", metrics.connections.clone());
         registry.register(
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -20,7 +20,9 @@
 enum End {
     /// The stream is complete.
     Complete,
-    /// It broke off, or sent nothing for too long.
+    /// Its connection ended before it was complete.
+    Lost,
+    /// It was not valid, or sent nothing for too long.
     Broken,
     /// The caller disconnected.
     CallerLeft,
@@ -92,7 +94,11 @@
         let mut next = Some((stream, upstream.clone()));
         while let Some((stream, upstream)) = next.take() {
             progress.events_of_part = 0;
+            let started = stream.started;
             let part = self.relay_part(stream, &mut directives, &mut caller, &mut progress).await;
+            if matches!(part, End::Lost) {
+                self.record_lost_connection(&upstream, started);
+            }
             match part {
                 End::Complete => {
                     let tokens = Tokens(progress.events_of_part * self.tokens_per_event);
@@ -105,12 +111,12 @@
                     return;
                 }
                 End::TimedOut => break,
-                End::Broken if self.call.repeat != Repeat::Resumable => {
+                End::Lost | End::Broken if self.call.repeat != Repeat::Resumable => {
                     self.record_failed_attempt(&upstream, Ended::Cut);
                     directives.report_end(Ended::Cut);
                     break;
                 }
-                End::Broken => {
+                End::Lost | End::Broken => {
                     self.record_failed_attempt(&upstream, Ended::Broken);
                     directives.report_end(Ended::Broken);
                     next = self.resume(&mut directives, &mut caller, &progress).await;
@@ -134,7 +140,7 @@
         caller: &mut Caller,
         progress: &mut Progress,
     ) -> End {
-        let Stream { parts, mut body, connection, stall_timeout } = stream;
+        let Stream { parts, mut body, connection, stall_timeout, .. } = stream;
         let Caller::Streaming(sender) = caller else { return End::CallerLeft };
         let mut parser = Parser::default();
         let mut check_at = self.stall_deadline(stall_timeout);
@@ -155,12 +161,12 @@
                 }
             };
             match frame {
-                None if parser.has_partial_event() => return End::Broken,
+                None if parser.has_partial_event() => return End::Lost,
                 None => {
                     self.keep(connection, &parts);
                     return End::Complete;
                 }
-                Some(Err(_)) => return End::Broken,
+                Some(Err(_)) => return End::Lost,
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else { continue };
                     parser.push(&bytes);
