Bound what an engine can send without end, and take a rejection by its head

An engine in trouble may send bytes without end, in a head or a body. Heads, bodies and events had limits, but many bodies at once could take the memory of an instance (4 MiB each), and the body of an answer that says that the request did not run was awaited until the deadline: its caller got 504 in place of the truth. All bodies of answers together are now limited to 64 MiB, and a rejection counts by its head, its body is awaited for 50 ms.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response, http};
 use rosemarypond_core::entry::call::{Call, Ended, Reason, Repeat};
@@ -14,7 +14,7 @@
 use rosemarypond_core::unit::Tokens;
 use slog::{info, warn};
 use tokio::sync::oneshot;
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout};
 
 use crate::clock;
 use crate::dialect::{Forward, Head, Meaning, Pause, Refusal};
@@ -28,6 +28,9 @@
 /// The longest body of an upstream's response that is not an event stream, in
 /// bytes.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// How long the body of a response is awaited whose head states that the request did
+/// not run; without it, the connection is closed.
+const REJECTION_TIMEOUT: Duration = Duration::from_millis(50);
 /// The fraction of the time left after which an idempotent request without a
 /// response may be rerouted.
 const REROUTE_FRACTION: f64 = 0.45;
@@ -240,21 +243,28 @@
             let stream = Stream { parts, body, connection, answered_at, stall_timeout };
             return Outcome::Stream(Box::new(stream));
         }
+        if let Meaning::NotRun { misdirected } = meaning {
+            let mut memory = Memory::new(&self.gateway.metrics.held_response_bytes);
+            let rest = timeout(REJECTION_TIMEOUT, read_body(body, &mut memory));
+            if let Ok(Ok(_)) = rest.await {
+                self.keep(connection, &parts);
+            }
+            return Outcome::Failed(Ended::NotRun { misdirected }, None);
+        }
         let may_cancel = self.call.repeat.may_run_again() || self.route.is_stream;
+        let mut memory = Memory::new(&self.gateway.metrics.held_response_bytes);
         let whole = tokio::select! {
-            whole = Limited::new(body, MAX_RESPONSE_BYTES).collect() => whole,
+            whole = read_body(body, &mut memory) => whole,
             () = caller.disconnected(), if may_cancel => return Outcome::CallerLeft,
             () = sleep_until(self.call.deadline.into()) => {
                 return Outcome::TimedOut { is_hanging: false };
             }
         };
         let bytes = match whole {
-            Ok(whole) => whole.to_bytes(),
-            Err(_) if matches!(meaning, Meaning::NotRun { .. }) => Bytes::new(),
-            Err(error) => {
-                if !error.is::<LengthLimitError>() {
-                    self.record_lost_connection(upstream, Some(answered_at), directives);
-                }
+            Ok(bytes) => bytes,
+            Err(BodyError::TooLong) => return self.broken(),
+            Err(BodyError::Lost) => {
+                self.record_lost_connection(upstream, Some(answered_at), directives);
                 return self.broken();
             }
         };
@@ -296,8 +306,7 @@
         match meaning {
             Meaning::Success => Outcome::Whole(response()),
             Meaning::Failure => Outcome::Failed(Ended::Failed, Some(response())),
-            Meaning::NotRun { misdirected } => Outcome::Failed(Ended::NotRun { misdirected }, None),
-            Meaning::Invalid => self.broken(),
+            Meaning::NotRun { .. } | Meaning::Invalid => self.broken(),
         }
     }
 
@@ -445,6 +454,28 @@
     }
 }
 
+/// Why the body of a response was not read.
+enum BodyError {
+    /// It is longer than [`MAX_RESPONSE_BYTES`], or there is no memory for it.
+    TooLong,
+    /// The connection ended before it was complete.
+    Lost,
+}
+
+/// Reads the body of a response that is not an event stream.
+async fn read_body(mut body: Incoming, memory: &mut Memory) -> Result<Bytes, BodyError> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(bytes) = frame.map_err(|_| BodyError::Lost)?.into_data() else { continue };
+        let is_too_long = whole.len() + bytes.len() > MAX_RESPONSE_BYTES;
+        if is_too_long || memory.reserve(bytes.len()).is_err() {
+            return Err(BodyError::TooLong);
+        }
+        whole.extend_from_slice(&bytes);
+    }
+    Ok(whole.freeze())
+}
+
 fn is_event_stream(parts: &http::response::Parts) -> bool {
     let kind = parts.headers.get(http::header::CONTENT_TYPE);
     kind.and_then(|k| k.to_str().ok()).is_some_and(|k| k.starts_with("text/event-stream"))
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::{Request, Response, http};
+use prometheus_client::metrics::gauge::Gauge;
 use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::call::{Call, Reason};
 use rosemarypond_core::entry::gossip::Leaving;
@@ -35,7 +36,7 @@
 /// How long a caller is asked to wait before a retry where the instance itself
 /// is not ready.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// The most memory for request bodies at once, in bytes.
+/// The most memory for the bodies of requests, or of responses, at once, in bytes.
 const MAX_HELD_BODY_BYTES: i64 = 64 << 20;
 
 /// The options of a gateway.
@@ -68,19 +69,35 @@
     is_stopping: Cell<bool>,
 }
 
-/// The memory reserved for the body of a request, until it is dropped.
+/// Memory reserved for a body, until it is dropped.
 pub struct Memory {
-    gateway: Rc<Gateway>,
+    /// The bytes that all bodies of this kind hold.
+    held: Gauge,
     bytes: usize,
 }
 
+/// The memory for bodies is used up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("The memory for bodies is used up.")]
+pub struct Exhausted;
+
 impl Memory {
-    fn reserve(&mut self, bytes: usize) -> Result<(), Refusal> {
-        let held = self.gateway.metrics.held_body_bytes.get() + bytes as i64;
+    /// No memory yet, of what `held` counts.
+    pub fn new(held: &Gauge) -> Self {
+        Self { held: held.clone(), bytes: 0 }
+    }
+
+    /// Reserves more memory.
+    ///
+    /// # Errors
+    ///
+    /// Where all bodies together would hold too much.
+    pub fn reserve(&mut self, bytes: usize) -> Result<(), Exhausted> {
+        let held = self.held.get() + bytes as i64;
         if held > MAX_HELD_BODY_BYTES {
-            return Err(not_ready(Reason::Memory));
+            return Err(Exhausted);
         }
-        self.gateway.metrics.held_body_bytes.set(held);
+        self.held.set(held);
         self.bytes += bytes;
         Ok(())
     }
@@ -88,7 +105,7 @@
 
 impl Drop for Memory {
     fn drop(&mut self) {
-        self.gateway.metrics.held_body_bytes.dec_by(self.bytes as i64);
+        self.held.dec_by(self.bytes as i64);
     }
 }
 
@@ -244,7 +261,7 @@
         let arrived = clock::now();
         let plan = self.plan.borrow().clone();
         let plan = plan.ok_or_else(|| not_ready(Reason::NoPlan))?;
-        let mut memory = Memory { gateway: self.clone(), bytes: 0 };
+        let mut memory = Memory::new(&self.metrics.held_body_bytes);
         // An unread body would leave the connection unusable, so it is read before
         // the request is authorized.
         let body = read_body(body, plan.limits.body_bytes, &mut memory);
@@ -325,7 +342,7 @@
         if whole.len() + bytes.len() > limit {
             return Err(Refusal::BodyTooLong);
         }
-        memory.reserve(bytes.len())?;
+        memory.reserve(bytes.len()).map_err(|Exhausted| not_ready(Reason::Memory))?;
         whole.extend_from_slice(&bytes);
     }
     Ok(whole.freeze())
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -30,6 +30,8 @@
     pub connections: Gauge,
     /// Memory for the bodies of requests that are held, in bytes.
     pub held_body_bytes: Gauge,
+    /// Memory for the bodies of responses that are read, in bytes.
+    pub held_response_bytes: Gauge,
     /// Configurations that were not valid.
     pub invalid_configurations: Counter,
 }
@@ -46,6 +48,7 @@
             first_seconds: Histogram::new(exponential_buckets(0.01, 2.0, 11)),
             connections: Gauge::default(),
             held_body_bytes: Gauge::default(),
+            held_response_bytes: Gauge::default(),
             invalid_configurations: Counter::default(),
         };
         let registry = &mut metrics.registry;
@@ -65,6 +68,11 @@
             "Memory for the bodies of requests that are held",
             metrics.held_body_bytes.clone(),
         );
+        registry.register(
+            "held_response_bytes",
+            "Memory for the bodies of responses that are read",
+            metrics.held_response_bytes.clone(),
+        );
         registry.register(
             "invalid_configurations",
             "Configurations that were not valid",
