Keep to the limit that an upstream names, over all instances together

What the users saw: engines that had named 1 to 1.3 requests a second got 13 in 4 s (allowed 11 and 13).

Each instance now reads the limit in every answer, tells its peers of it, and counts what they report to have sent. A request is sent only if fewer than the limit allows in 4 s were sent by all; when one more may be sent, instances take turns by a hash, so that they hear of each other first, and send few at once. What is not known is assumed to be used: the window before a limit was learnt, the share of silent peers. Beyond a full mesh, only the instances of an engine's zone use its limit. It ends with an answer without it to a request that was sent later, or with the engine's incarnation. Retries count like all others.

Found on the way by scheduler_goes_on_whatever_is_stated: a huge limit made the window that is assumed as used endless; limits are capped at 1,000 a second.

Ruled out: an equal share each (one request in minutes at 195 instances), one owner for each engine (callers of the other instances would starve).

--- a/crates/core/benches/scheduler.rs
+++ b/crates/core/benches/scheduler.rs
@@ -91,6 +91,7 @@
             admitted: (0..TEAMS).map(|team| (name(format!("t{team}")), self.messages)).collect(),
             digest: None,
             leaving_upstreams: vec![],
+            limits: vec![],
             prompts: Box::default(),
             watermark: Watermark::default(),
         };
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -5,13 +5,18 @@
 
 use super::call::Call;
 use super::gossip::{self, Leaving};
+use super::limit::Group;
 use super::upstream::{Estimate, Location, Registration, Upstream, Visibility};
 use crate::id;
-use crate::unit::Tokens;
+use crate::unit::{RequestRate, Tokens};
 
 /// The longest pause that an upstream may ask for; after it the upstream is tried
 /// again.
 pub const MAX_REQUESTED_PAUSE: Duration = Duration::from_secs(60);
+/// The most limits in one message that have changed.
+const MAX_NEW_LIMITS: usize = 64;
+/// The most limits in one message that have not.
+const MAX_REPEATED_LIMITS: usize = 4;
 /// How many leaving incarnations are remembered.
 const MAX_LEAVING: usize = 1_024;
 
@@ -24,6 +29,8 @@
     /// after an upstream was removed: an older copy of the directory may list it
     /// again.
     leaving: VecDeque<Leaving>,
+    /// Where the limits that are told by turns go on.
+    next_limit: usize,
 }
 
 /// What to do with a request, by [`Fleet::choose`].
@@ -41,7 +48,7 @@
 impl Fleet {
     /// A fleet without upstreams, for an instance at `location`.
     pub fn new(location: Location) -> Self {
-        Self { location, upstreams: BTreeMap::new(), leaving: VecDeque::new() }
+        Self { location, upstreams: BTreeMap::new(), leaving: VecDeque::new(), next_limit: 0 }
     }
 
     /// Adds or updates an upstream; returns whether it is new, restarted, or has
@@ -112,6 +119,9 @@
         let open = open.filter(|u| !only_own_zone || is_in_own_zone(u));
         for upstream in open {
             is_any_open = true;
+            if !upstream.is_within_limit(now) {
+                continue;
+            }
             if !upstream.has_room(call, visibility) {
                 let first = upstream.idle_time_to_first(call);
                 fastest_full = Some(fastest_full.map_or(first, |f| f.min(first)));
@@ -219,6 +229,69 @@
         }
     }
 
+    /// Records the limit that an incarnation of an upstream named, or that it named
+    /// none, in an answer to a request that was sent at `sent`; returns whether that
+    /// changes its limit.
+    pub fn state_limit(
+        &mut self,
+        id: &id::Upstream,
+        incarnation: u64,
+        rate: Option<RequestRate>,
+        sent: Instant,
+        now: Instant,
+    ) -> bool {
+        let upstream = self.upstreams.get_mut(id);
+        let upstream = upstream.filter(|u| u.registration.incarnation == incarnation);
+        upstream.is_some_and(|upstream| upstream.state_limit(rate, sent, now))
+    }
+
+    /// Adds what a peer knows of a limit; `counted` is the peer if its requests
+    /// count together with those of this instance. Returns whether that changes the
+    /// limit.
+    pub fn receive_limit(
+        &mut self,
+        limit: &gossip::Limit,
+        counted: Option<(&id::Instance, id::Incarnation)>,
+        now: Instant,
+    ) -> bool {
+        let upstream = self.upstreams.get_mut(&limit.upstream);
+        let upstream = upstream.filter(|u| u.registration.incarnation == limit.incarnation);
+        let Some(upstream) = upstream else { return false };
+        let has_changed = upstream.receive_limit(limit, now);
+        if let Some((peer, incarnation)) = counted {
+            upstream.record_peer_sent(peer, incarnation, limit.sent, now);
+        }
+        has_changed
+    }
+
+    /// Whether an upstream has a limit.
+    pub fn has_limits(&self) -> bool {
+        self.upstreams.values().any(|u| u.limit().is_some())
+    }
+
+    /// Updates this instance's turns at the upstreams with a limit; with `only_own_zone`
+    /// those of other availability zones are left to the instances there.
+    pub fn update_turns(&mut self, group: &Group, only_own_zone: bool, now: Instant) {
+        let zone = &self.location.zone;
+        for upstream in self.upstreams.values_mut() {
+            let is_used = !only_own_zone || upstream.registration.zone == *zone;
+            upstream.update_turn(Some(group).filter(|_| is_used), now);
+        }
+    }
+
+    /// What peers have to know of the limits: what has changed, and a few of the
+    /// others by turns.
+    pub fn limits(&mut self, now: Instant) -> Vec<gossip::Limit> {
+        let limits = self.upstreams.values().filter_map(|upstream| upstream.limit_message(now));
+        let (news, others): (Vec<_>, Vec<_>) = limits.partition(|(is_news, _)| *is_news);
+        let first = self.next_limit % others.len().max(1);
+        self.next_limit = first + MAX_REPEATED_LIMITS;
+        let repeated =
+            others.iter().cycle().skip(first).take(others.len().min(MAX_REPEATED_LIMITS));
+        let news = news.iter().take(MAX_NEW_LIMITS);
+        news.chain(repeated).map(|(_, limit)| limit.clone()).collect()
+    }
+
     /// Whether an upstream of a service takes new requests.
     pub fn has_open(&self, service: &id::Service, now: Instant) -> bool {
         self.upstreams.values().any(|u| u.registration.service == *service && u.is_open(now))
--- a/crates/core/src/entry/gossip.rs
+++ b/crates/core/src/entry/gossip.rs
@@ -6,7 +6,7 @@
 use super::pace::Pace;
 use super::watermark::Watermark;
 use crate::id;
-use crate::unit::Tokens;
+use crate::unit::{RequestRate, Tokens};
 
 /// The sender's load on one upstream.
 #[derive(Clone, Debug, PartialEq)]
@@ -30,6 +30,22 @@
     pub incarnation: u64,
 }
 
+/// The limit that an upstream named in an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limit {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// The requests per second that it takes from all instances together; none if
+    /// it names no limit any more.
+    pub rate: Option<RequestRate>,
+    /// How long ago it said so.
+    pub age: Duration,
+    /// The requests that the sender has sent it since the sender's start.
+    pub sent: u64,
+}
+
 /// What a relay reports of its availability zone to the other zones.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Digest {
@@ -116,6 +132,8 @@
     pub digest: Option<Digest>,
     /// The upstreams that are known to be leaving by what they answered.
     pub leaving_upstreams: Vec<Leaving>,
+    /// The limits of upstreams.
+    pub limits: Vec<Limit>,
     /// What it knows of prompts that crash upstreams.
     pub prompts: Box<Prompts>,
     /// What it knows of the shared store.
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -10,6 +10,7 @@
 pub mod call;
 pub mod fleet;
 pub mod gossip;
+pub mod limit;
 pub mod node;
 pub mod pace;
 pub mod plan;
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -21,6 +21,7 @@
 use super::zones::{Population, Zones};
 use crate::hash::stable_hash;
 use crate::id;
+use crate::unit::RequestRate;
 
 use peers::Peer;
 
@@ -83,6 +84,17 @@
     Deregistered(id::Upstream),
     /// An upstream said in an answer that it is leaving.
     Leaving(gossip::Leaving),
+    /// An upstream named its limit in an answer, or named none.
+    LimitStated {
+        /// The upstream.
+        upstream: id::Upstream,
+        /// Its incarnation.
+        incarnation: u64,
+        /// The requests per second that it takes from all instances together.
+        rate: Option<RequestRate>,
+        /// When the request was sent that it answers.
+        sent: Instant,
+    },
     /// An upstream asked for no further request for this time.
     Paused(id::Upstream, Duration),
     /// A peer is registered in the store, with its availability zone.
@@ -187,6 +199,7 @@
     sequence: u64,
     last_gossip: Option<Instant>,
     last_other_zones_gossip: Option<Instant>,
+    last_turns: Option<Instant>,
     /// Whether there is a change that was not sent to peers.
     has_changes: bool,
     is_stopping: bool,
@@ -213,6 +226,7 @@
             sequence: 0,
             last_gossip: None,
             last_other_zones_gossip: None,
+            last_turns: None,
             has_changes: false,
             is_stopping: false,
             actions: Vec::new(),
@@ -241,6 +255,10 @@
                 self.fleet.deregister(&upstream);
             }
             Event::Leaving(leaving) => self.upstream_leaving(leaving),
+            Event::LimitStated { upstream, incarnation, rate, sent } => {
+                let has_changed = self.fleet.state_limit(&upstream, incarnation, rate, sent, now);
+                self.has_changes |= has_changed;
+            }
             Event::Paused(upstream, time) => self.fleet.pause_for(&upstream, time, now),
             Event::PeerRegistered(peer, zone) => self.peer_registered(now, peer, zone),
             Event::StoreRead(watermark) => self.update_watermark(&watermark),
@@ -530,6 +548,7 @@
         self.expire_peers(now);
         self.quarantine.expire(now);
         self.review_quarantine(now);
+        self.update_turns(now);
         self.expire(now);
         self.dispatch_waiting(now);
         self.gossip(now);
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use super::{Action, Audience, Scheduler};
-use crate::entry::gossip::{Digest, Gossip};
+use crate::entry::gossip::{Digest, Gossip, Limit};
+use crate::entry::limit::Group;
 use crate::entry::quota::Knowledge;
 use crate::entry::upstream::{Location, Visibility};
 use crate::entry::watermark::{POLLERS_PER_ZONE, Watermark};
@@ -23,6 +24,10 @@
 /// The time between two messages to the peers of other zones, where loads are
 /// sent only within the zone.
 const OTHER_ZONES_GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
+/// The time from a message to its effect at a peer, besides the interval.
+const GOSSIP_DELAY: Duration = Duration::from_millis(30);
+/// How often the turns at upstreams with a limit are updated.
+const TURN_INTERVAL: Duration = Duration::from_millis(100);
 /// The longest time between two messages to peers.
 const MAX_GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
 /// A peer from which nothing was received for this long is assumed to run nothing.
@@ -98,7 +103,8 @@
             admitted: gossip.admitted.into_iter().collect(),
             answers: gossip.prompts.answers.iter().cloned().collect(),
         };
-        self.peers.insert(gossip.from, peer);
+        let from = gossip.from;
+        self.peers.insert(from.clone(), peer);
         if is_heard_again {
             self.population = self.count_instances(now);
         }
@@ -109,6 +115,7 @@
         for leaving in gossip.leaving_upstreams {
             self.upstream_leaving(leaving);
         }
+        self.receive_limits(now, &gossip.limits, Some((&from, gossip.incarnation)));
         self.receive_prompts(now, *gossip.prompts);
         self.update_watermark(&gossip.watermark);
         self.dispatch_waiting(now);
@@ -147,6 +154,7 @@
         for leaving in gossip.leaving_upstreams {
             self.upstream_leaving(leaving);
         }
+        self.receive_limits(now, &gossip.limits, None);
         self.receive_prompts(now, *gossip.prompts);
         self.update_watermark(&gossip.watermark);
     }
@@ -274,6 +282,38 @@
         }
     }
 
+    /// Updates this instance's turns at the upstreams that named a limit: beyond a
+    /// full mesh only the instances of an upstream's zone use it.
+    pub(super) fn update_turns(&mut self, now: Instant) {
+        let elapsed = self.last_turns.map(|at| now.saturating_duration_since(at));
+        if elapsed.is_some_and(|elapsed| elapsed < TURN_INTERVAL) || !self.fleet.has_limits() {
+            return;
+        }
+        self.last_turns = Some(now);
+        let is_full_mesh = self.is_full_mesh();
+        let zone = &self.options.location.zone;
+        let in_group = || self.peers.iter().filter(|(_, p)| is_full_mesh || p.zone == *zone);
+        let group = Group {
+            instance: self.options.location.instance.clone(),
+            peers: in_group().filter(|(_, p)| !p.is_silent).map(|(id, _)| id.clone()).collect(),
+            silent: in_group().filter(|(_, p)| p.is_silent).count(),
+            interval: self.gossip_interval() + GOSSIP_DELAY,
+        };
+        self.fleet.update_turns(&group, !is_full_mesh, now);
+    }
+
+    /// Adds what a peer knows of limits.
+    fn receive_limits(
+        &mut self,
+        now: Instant,
+        limits: &[Limit],
+        counted: Option<(&id::Instance, id::Incarnation)>,
+    ) {
+        for limit in limits {
+            self.has_changes |= self.fleet.receive_limit(limit, counted, now);
+        }
+    }
+
     fn send_gossip(&mut self, now: Instant, audience: Audience, age: Duration) {
         self.sequence += 1;
         let has_loads = audience != Audience::OtherZones;
@@ -288,6 +328,7 @@
             admitted: self.quota.admitted().map(|(t, c)| (t.clone(), c)).collect(),
             digest: (audience == Audience::OtherZones).then(|| self.digest()),
             leaving_upstreams: self.fleet.leaving().cloned().collect(),
+            limits: self.fleet.limits(now),
             prompts: Box::new(self.quarantine.message(now)),
             watermark: self.watermark,
         };
--- a/crates/core/src/entry/upstream.rs
+++ b/crates/core/src/entry/upstream.rs
@@ -7,10 +7,11 @@
 
 use super::call::Call;
 use super::gossip;
+use super::limit::{Group, Limit};
 use super::pace::Pace;
 use crate::hash::stable_hash;
 use crate::id;
-use crate::unit::Tokens;
+use crate::unit::{RequestRate, Tokens};
 
 /// The first pause of an upstream that could not be reached.
 const MIN_PAUSE: Duration = Duration::from_millis(500);
@@ -110,6 +111,9 @@
     paused_until: Option<Instant>,
     /// Requests that it rejected since it last accepted one.
     rejections: u32,
+    limit: Option<Limit>,
+    /// Requests that this instance has sent to it.
+    sent: u64,
     is_removed: bool,
 }
 
@@ -136,6 +140,8 @@
             pause: MIN_PAUSE,
             paused_until: None,
             rejections: 0,
+            limit: None,
+            sent: 0,
             is_removed: false,
         }
     }
@@ -295,6 +301,80 @@
         let work = Tokens(self.prefill().saturating_add(call.prompt.0));
         let attempt = Attempt { started: now, prompt: call.prompt, work, first: None };
         self.running.insert(call.id, attempt);
+        self.sent += 1;
+        if let Some(limit) = &mut self.limit {
+            limit.record_sent(now);
+        }
+    }
+
+    /// The limit that it named.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.limit.as_ref().and_then(Limit::rate)
+    }
+
+    /// Whether its limit allows this instance one more request now.
+    pub(super) fn is_within_limit(&self, now: Instant) -> bool {
+        self.limit.as_ref().is_none_or(|limit| limit.has_room(now))
+    }
+
+    /// Records the limit that it named, or that it named none, in an answer to a
+    /// request that was sent at `sent`; returns whether that changes its limit.
+    pub(super) fn state_limit(
+        &mut self,
+        rate: Option<RequestRate>,
+        sent: Instant,
+        now: Instant,
+    ) -> bool {
+        match (&mut self.limit, rate) {
+            (Some(limit), rate) => limit.state(rate, sent, now),
+            (None, None) => false,
+            (None, Some(rate)) => {
+                self.limit = Some(Limit::new(rate, now, now));
+                true
+            }
+        }
+    }
+
+    /// Adds what a peer knows of its limit; returns whether that changes it.
+    pub(super) fn receive_limit(&mut self, limit: &gossip::Limit, now: Instant) -> bool {
+        match (&mut self.limit, limit.rate) {
+            (Some(known), _) => known.receive(limit, now),
+            (None, None) => false,
+            (None, Some(rate)) => {
+                let stated_at = now.checked_sub(limit.age).unwrap_or(now);
+                self.limit = Some(Limit::new(rate, stated_at, now));
+                true
+            }
+        }
+    }
+
+    /// Counts what a peer has sent to it.
+    pub(super) fn record_peer_sent(
+        &mut self,
+        peer: &id::Instance,
+        incarnation: id::Incarnation,
+        sent: u64,
+        now: Instant,
+    ) {
+        if let Some(limit) = &mut self.limit {
+            limit.record_peer(peer, incarnation, sent, now);
+        }
+    }
+
+    /// Updates this instance's turn at its limit.
+    pub(super) fn update_turn(&mut self, group: Option<&Group>, now: Instant) {
+        if let Some(limit) = &mut self.limit {
+            let rate = limit.rate();
+            let turn = group.zip(rate).and_then(|(g, rate)| g.turn(&self.registration.id, rate));
+            limit.set_turn(turn, now);
+        }
+    }
+
+    /// What peers have to know of its limit, and whether that is news.
+    pub(super) fn limit_message(&self, now: Instant) -> Option<(bool, gossip::Limit)> {
+        let Registration { id, incarnation, .. } = &self.registration;
+        let limit = self.limit.as_ref()?;
+        Some((limit.is_news(now), limit.message(id, *incarnation, self.sent, now)))
     }
 
     /// Records the first byte or event of an answer.
--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -66,3 +66,54 @@
         text.parse().map(Self)
     }
 }
+
+/// A rate in requests per second, finite and not negative.
+///
+/// ```
+/// use rosemarypond_core::unit::RequestRate;
+/// assert_eq!("1.3".parse::<RequestRate>()?, RequestRate(1.3));
+/// assert!("-1".parse::<RequestRate>().is_err());
+/// assert!("inf".parse::<RequestRate>().is_err());
+/// # Ok::<(), rosemarypond_core::unit::RateError>(())
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct RequestRate(pub f64);
+
+/// A text is not a rate in requests per second.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("A rate is a number that is finite and not negative.")]
+pub struct RateError;
+
+impl RequestRate {
+    /// The higher of two rates.
+    pub fn max(self, other: Self) -> Self {
+        Self(self.0.max(other.0))
+    }
+
+    /// The lower of two rates.
+    pub fn min(self, other: Self) -> Self {
+        Self(self.0.min(other.0))
+    }
+}
+
+impl TryFrom<f64> for RequestRate {
+    type Error = RateError;
+
+    fn try_from(rate: f64) -> Result<Self, RateError> {
+        if rate.is_finite() && rate >= 0.0 { Ok(Self(rate)) } else { Err(RateError) }
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = RateError;
+
+    fn from_str(text: &str) -> Result<Self, RateError> {
+        text.parse::<f64>().map_err(|_| RateError)?.try_into()
+    }
+}
--- a/crates/core/tests/entry/foreign.rs
+++ b/crates/core/tests/entry/foreign.rs
@@ -8,14 +8,14 @@
 use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::call::{Call, Ended};
 use rosemarypond_core::entry::gossip::{
-    Answered, Crash, Digest, Gossip, Leaving, Load, Prompts, Quarantined,
+    self, Answered, Crash, Digest, Gossip, Leaving, Load, Prompts, Quarantined,
 };
 use rosemarypond_core::entry::pace::Pace;
 use rosemarypond_core::entry::plan::{Limit, Limits, Plan, Team};
 use rosemarypond_core::entry::scheduler::Event;
 use rosemarypond_core::entry::watermark::{Era, Watermark};
 use rosemarypond_core::id;
-use rosemarypond_core::unit::Tokens;
+use rosemarypond_core::unit::{RequestRate, Tokens};
 
 use crate::site::{Site, WINDOW, ms, name, refusals, sends};
 
@@ -113,11 +113,23 @@
     )
 }
 
+fn limit() -> impl Strategy<Value = gossip::Limit> {
+    let rate = proptest::option::of(prop_oneof![Just(0.0), Just(f64::MAX), 0.0..1e6]);
+    (0..3u32, rate, age(), number()).prop_map(|(upstream, rate, age, sent)| gossip::Limit {
+        upstream: name(&format!("e{upstream}")),
+        incarnation: 1,
+        rate: rate.map(RequestRate),
+        age,
+        sent,
+    })
+}
+
 fn gossip() -> impl Strategy<Value = Gossip> {
     let who = (0..3u32, 0..3u32, number(), number(), number(), any::<bool>());
-    let what = (prop::collection::vec(load(), 0..4), number(), digest(), watermark(), prompts());
+    let what =
+        (prop::collection::vec(load(), 0..4), number(), digest(), watermark(), prompts(), limit());
     (who, what).prop_map(|((from, zone, incarnation, age, sequence, leaving), what)| {
-        let (loads, total, digest, watermark, prompts) = what;
+        let (loads, total, digest, watermark, prompts, limit) = what;
         Gossip {
             from: name(&format!("b{from}")),
             incarnation: id::Incarnation(incarnation),
@@ -129,6 +141,7 @@
             admitted: vec![(name("a"), total)],
             digest,
             leaving_upstreams: vec![Leaving { upstream: name("e9"), incarnation }],
+            limits: vec![limit],
             prompts: Box::new(prompts),
             watermark,
         }
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of an entry instance, on a clock that the tests set.
 
 mod foreign;
+mod limit;
 mod limits;
 mod network;
 mod placement;
--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -12,7 +12,7 @@
 use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler};
 use rosemarypond_core::entry::upstream::{Location, Registration};
 use rosemarypond_core::id;
-use rosemarypond_core::unit::Tokens;
+use rosemarypond_core::unit::{RequestRate, Tokens};
 
 use crate::site::{ALLOWANCE, Site, WINDOW, ms, name};
 
@@ -53,6 +53,7 @@
     incarnation: u64,
     request: id::Request,
     is_deadly: bool,
+    sent: Instant,
     first_at: Instant,
     has_begun: bool,
 }
@@ -75,6 +76,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
     pub at: Instant,
+    pub engine: usize,
     pub is_deadly: bool,
 }
 
@@ -111,6 +113,10 @@
     pub crashes: Vec<Instant>,
     pub arrivals: Vec<Arrival>,
     pub quarantined: Vec<Vec<id::Part>>,
+    /// The limit that each engine names, if any.
+    pub limits: BTreeMap<usize, RequestRate>,
+    /// The fraction of the requests that engines reject as not run.
+    pub rejected: f64,
     instances: Vec<(u64, Scheduler)>,
     engines: Vec<Engine>,
     due: BTreeMap<(Instant, u64), (usize, Due)>,
@@ -130,6 +136,8 @@
             crashes: vec![],
             arrivals: vec![],
             quarantined: vec![],
+            limits: BTreeMap::new(),
+            rejected: 0.0,
             instances: vec![],
             engines: vec![],
             due: BTreeMap::new(),
@@ -335,10 +343,17 @@
             let event = Event::Ended(request, Ended::NotSent);
             return self.push(DELAY, instance, Due::Event(Box::new(event), incarnation));
         };
-        self.arrivals.push(Arrival { at: self.now, is_deadly });
+        self.arrivals.push(Arrival { at: self.now, engine, is_deadly });
+        if self.rejected > 0.0 && self.chance() < self.rejected {
+            let notice = self.notice(engine, self.now);
+            self.push(DELAY, instance, Due::Event(Box::new(notice), incarnation));
+            let event = Event::Ended(request, Ended::NotRun { misdirected: false });
+            return self.push(DELAY, instance, Due::Event(Box::new(event), incarnation));
+        }
         let (least, more) = FIRST_TOKEN_MS;
         let first_at = self.now + ms(least) + ms(more).mul_f64(self.chance());
-        let run = Run { instance, incarnation, request, is_deadly, first_at, has_begun: false };
+        let (sent, has_begun) = (self.now, false);
+        let run = Run { instance, incarnation, request, is_deadly, sent, first_at, has_begun };
         self.engines[engine].runs.push(run);
     }
 
@@ -347,6 +362,17 @@
         self.crashes_engines && waiting.is_some_and(|w| w.kind == "deadly")
     }
 
+    /// What an answer of an engine says of its limit.
+    fn notice(&self, engine: usize, sent: Instant) -> Event {
+        let Registration { id, incarnation, .. } = &self.engines[engine].registration;
+        Event::LimitStated {
+            upstream: id.clone(),
+            incarnation: *incarnation,
+            rate: self.limits.get(&engine).copied(),
+            sent,
+        }
+    }
+
     /// Ends an engine; it is back after a while under another id.
     pub fn crash(&mut self, index: usize) {
         let engine = &mut self.engines[index];
@@ -388,9 +414,15 @@
                 continue;
             }
             let mut events = vec![];
+            let Registration { id, incarnation, .. } = self.engines[index].registration.clone();
+            let rate = self.limits.get(&index).copied();
+            let notice =
+                |sent| Event::LimitStated { upstream: id.clone(), incarnation, rate, sent };
             self.engines[index].runs.retain_mut(|run| {
                 if !run.has_begun && now >= run.first_at {
                     run.has_begun = true;
+                    let stated = notice(run.sent);
+                    events.push((run.instance, run.incarnation, stated));
                     events.push((run.instance, run.incarnation, Event::FirstByte(run.request)));
                 }
                 let has_ended = now >= run.first_at + ANSWER_TIME;
--- a/crates/core/tests/entry/site.rs
+++ b/crates/core/tests/entry/site.rs
@@ -136,6 +136,7 @@
             admitted: vec![],
             digest: None,
             leaving_upstreams: vec![],
+            limits: vec![],
             prompts: Box::default(),
             watermark: Watermark::default(),
         }
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -7,7 +7,7 @@
 use rosemarypond_core::entry::call::Reason;
 use rosemarypond_core::entry::upstream::Registration;
 use rosemarypond_core::id;
-use rosemarypond_core::unit::Tokens;
+use rosemarypond_core::unit::{RequestRate, Tokens};
 
 /// What is read from the head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -66,12 +66,23 @@
 }
 
 /// What an upstream's response says about the upstream itself.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// Whether it is leaving and takes no new work.
     pub is_leaving: bool,
     /// How long it wants no further request.
     pub pause: Option<Pause>,
+    /// The limit that it names.
+    pub limit: Option<Limit>,
+}
+
+/// The requests per second that an upstream takes from all instances together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Limit {
+    /// At this rate.
+    PerSecond(RequestRate),
+    /// The response states a rate that is not valid.
+    Invalid,
 }
 
 /// How long an upstream wants no further request.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep_until, timeout};
 
 use crate::clock;
-use crate::dialect::{Forward, Head, Meaning, Pause, Refusal};
+use crate::dialect::{Forward, Head, Limit, Meaning, Pause, Refusal};
 use crate::gateway::{Gateway, Memory};
 use crate::pool::{self, Connection};
 use crate::reply::{self, Caller, Reply};
@@ -233,7 +233,7 @@
         let (parts, body) = response.into_parts();
         let meaning = (self.gateway.dialect.classify)(&parts, &self.head.request);
         if meaning != (Meaning::NotRun { misdirected: true }) {
-            self.heed_notice(upstream, &parts);
+            self.heed_notice(upstream, &parts, started);
         }
         if meaning == Meaning::Invalid {
             return self.broken();
@@ -273,11 +273,19 @@
     }
 
     /// Passes on to the scheduler what a response says about its upstream.
-    fn heed_notice(&self, upstream: &Registration, parts: &http::response::Parts) {
+    fn heed_notice(&self, upstream: &Registration, parts: &http::response::Parts, sent: Instant) {
         let notice = (self.gateway.dialect.read_notice)(parts);
         if notice.is_leaving {
             self.gateway.record_leaving(upstream);
         }
+        match notice.limit {
+            Some(Limit::PerSecond(rate)) => self.gateway.record_limit(upstream, Some(rate), sent),
+            None => self.gateway.record_limit(upstream, None, sent),
+            Some(Limit::Invalid) => {
+                warn!(self.gateway.log, "upstream names a limit that is not valid; ignored";
+                    "request" => &self.head.request, "upstream" => upstream.id.as_str());
+            }
+        }
         match notice.pause {
             Some(Pause::For(time)) => self.gateway.record_pause(upstream, time),
             Some(Pause::Invalid) => {
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -19,7 +19,7 @@
 use rosemarypond_core::entry::scheduler::Event;
 use rosemarypond_core::entry::upstream::Registration;
 use rosemarypond_core::id;
-use rosemarypond_core::unit::Tokens;
+use rosemarypond_core::unit::{RequestRate, Tokens};
 use slog::{Logger, info};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -186,6 +186,27 @@
         self.handle.event(Event::Paused(upstream.id.clone(), time));
     }
 
+    /// Records the limit that an upstream named, or that it named none, in an answer
+    /// to a request that was sent at `sent`.
+    pub fn record_limit(
+        &self,
+        upstream: &Registration,
+        rate: Option<RequestRate>,
+        sent: std::time::Instant,
+    ) {
+        let Registration { id, incarnation, .. } = upstream;
+        let known = self.handle.ask(|s| s.fleet().get(id).and_then(|u| u.limit())).flatten();
+        if rate.is_none() && known.is_none() {
+            return;
+        }
+        if rate != known {
+            info!(self.log, "upstream names another limit"; "upstream" => id.as_str(),
+                "per_s" => rate.map(|r| r.0), "before" => known.map(|r| r.0));
+        }
+        let (upstream, incarnation) = (id.clone(), *incarnation);
+        self.handle.event(Event::LimitStated { upstream, incarnation, rate, sent });
+    }
+
     /// Whether the instance is ready: it is not stopping and has a plan that is
     /// known to be current.
     pub fn is_ready(&self) -> bool {
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -9,13 +9,13 @@
 use bytes::BytesMut;
 use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::gossip::{
-    Answered, Crash, Digest, Gossip, Leaving, Load, Prompts, Quarantined,
+    Answered, Crash, Digest, Gossip, Leaving, Limit, Load, Prompts, Quarantined,
 };
 use rosemarypond_core::entry::pace::Pace;
 use rosemarypond_core::entry::scheduler::{Audience, Event};
 use rosemarypond_core::entry::watermark::{Era, Watermark};
 use rosemarypond_core::id;
-use rosemarypond_core::unit::Tokens;
+use rosemarypond_core::unit::{RequestRate, Tokens};
 use rosemarypond_wire::datagram::Codec;
 use rosemarypond_wire::gossip as wire;
 use tokio::net::UdpSocket;
@@ -145,6 +145,7 @@
             .into_iter()
             .map(|l| wire::Leaving { upstream: l.upstream.into(), incarnation: l.incarnation })
             .collect(),
+        limits: gossip.limits.into_iter().map(encode_limit).collect(),
         crashes: prompts.crashes.into_iter().map(encode_crash).collect(),
         answered: prompts.answered.into_iter().map(encode_answered).collect(),
         quarantined: prompts.quarantined.into_iter().map(encode_quarantined).collect(),
@@ -166,6 +167,27 @@
     age.as_millis() as u64
 }
 
+fn encode_limit(limit: Limit) -> wire::Limit {
+    wire::Limit {
+        upstream: limit.upstream.into(),
+        incarnation: limit.incarnation,
+        rate: limit.rate.map(|rate| rate.0),
+        age_ms: millis(limit.age),
+        sent: limit.sent,
+    }
+}
+
+/// Decodes a limit; returns `None` where it is not valid.
+fn decode_limit(limit: wire::Limit) -> Option<Limit> {
+    Some(Limit {
+        upstream: limit.upstream.parse().ok()?,
+        incarnation: limit.incarnation,
+        rate: limit.rate.map(RequestRate::try_from).transpose().ok()?,
+        age: Duration::from_millis(limit.age_ms),
+        sent: limit.sent,
+    })
+}
+
 fn encode_parts(parts: Vec<id::Part>) -> Vec<u64> {
     parts.into_iter().map(|part| part.0).collect()
 }
@@ -274,6 +296,7 @@
         admitted: decode_admitted(message.admitted),
         digest: message.digest.map(digest),
         leaving_upstreams: message.leaving_upstreams.into_iter().filter_map(leaving).collect(),
+        limits: message.limits.into_iter().filter_map(decode_limit).collect(),
         prompts,
         watermark: Watermark {
             era: Era(message.era),
