Take a stream that ends with its connection before its first event for broken

A stream without a length or chunks is complete where its connection ends outside an event. One that ends before its first event looked complete as well: an engine that crashes as it begins to answer would give its callers an empty stream. It is broken off now; the new test fails without it (whole, no events). The quarantine is tested with such answers too.

--- a/crates/core/src/entry/quarantine/evidence.rs
+++ b/crates/core/src/entry/quarantine/evidence.rs
@@ -16,7 +16,7 @@
 /// The most crashes that are remembered.
 const MAX_CRASHES: usize = 64;
 /// The most prompts that are remembered of a crash.
-const MAX_PROMPTS: usize = 16;
+const MAX_PROMPTS: usize = 8;
 /// The most shared parts that are remembered of a prompt.
 const MAX_PARTS: usize = 16;
 /// Crashes within this time may have one common cause and count as one.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -5,6 +5,7 @@
 
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::http::{self, header};
 use rosemarypond_core::entry::call::{Ended, Repeat};
 use rosemarypond_core::entry::upstream::Registration;
 use rosemarypond_core::unit::Tokens;
@@ -162,6 +163,9 @@
             };
             match frame {
                 None if parser.has_partial_event() => return End::Lost,
+                None if ends_with_connection(&parts) && progress.events_of_part == 0 => {
+                    return End::Lost;
+                }
                 None => {
                     self.keep(connection, &parts);
                     return End::Complete;
@@ -228,3 +232,10 @@
         }
     }
 }
+
+/// Whether the end of a response is told by the end of its connection only.
+fn ends_with_connection(parts: &http::response::Parts) -> bool {
+    let headers = &parts.headers;
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
