--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -3,8 +3,9 @@
 
 mod crashes;
 mod peers;
+mod refusals;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,11 +20,11 @@
 use super::upstream::{Location, Registration};
 use super::watermark::Watermark;
 use super::zones::{Population, Zones};
-use crate::hash::stable_hash;
 use crate::id;
 use crate::unit::RequestRate;
 
 use peers::Peer;
+use refusals::retry_after;
 
 /// The time between two [`Event::Tick`]s.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -31,20 +32,8 @@
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
 /// A request that may have crashed this many upstreams gets no further attempt.
 const MAX_LOST_ATTEMPTS: u32 = 2;
-/// The time before the first-byte deadline that is reserved for the upstream's
-/// answer; a request that still waits then is refused.
-const ANSWER_MARGIN: Duration = Duration::from_millis(150);
-/// The fraction of its caller's first-byte timeout that a request waits at most.
-const MAX_WAIT_FRACTION: f64 = 0.85;
 /// The most waiting requests for which one pass looks for an upstream.
 const CANDIDATES_PER_PASS: usize = 64;
-/// The shortest time after which a refused caller is asked to retry.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// The same where upstreams are full.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(250);
-/// The longest time after which a refused caller is asked to retry, before the
-/// jitter.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
 
 /// The settings of a scheduler.
 #[derive(Clone, Debug)]
@@ -484,66 +473,6 @@
         self.actions.push(action);
     }
 
-    fn refuse(&mut self, now: Instant, id: id::Request, reason: Reason) {
-        self.backlog.remove(id);
-        let Some(held) = self.held.remove(&id) else { return };
-        if !held.may_have_run {
-            self.refund(&held);
-        }
-        let retry_after = self.jittered_retry_after(&held.call, BUSY_RETRY_AFTER, now);
-        self.push_refusal(id, reason, retry_after);
-    }
-
-    /// Refuses a request that cannot be sent before `opens_at`.
-    fn refuse_until(&mut self, now: Instant, id: id::Request, opens_at: Instant, reason: Reason) {
-        self.backlog.remove(id);
-        let Some(held) = self.held.remove(&id) else { return };
-        if !held.may_have_run {
-            self.refund(&held);
-        }
-        self.push_refusal(id, reason, retry_after(id, opens_at, now));
-    }
-
-    fn push_refusal(&mut self, request: id::Request, reason: Reason, retry_after: Duration) {
-        self.actions.push(Action::Refuse { request, reason, retry_after });
-    }
-
-    /// The time after which a caller may retry: `least`, with jitter of up to as
-    /// much again, and at most a third of the time left to the request's deadline.
-    fn jittered_retry_after(&self, call: &Call, least: Duration, now: Instant) -> Duration {
-        let least = least.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        least.mul_f64(1.0 + jitter(call.id)).min(call.time_left(now) / 3).max(MIN_RETRY_AFTER)
-    }
-
-    /// Refuses waiting requests that can no longer be answered in time.
-    fn expire(&mut self, now: Instant) {
-        self.refuse_paused(now);
-        let is_expired = |w: &&Waiting| now >= latest_start(&w.call);
-        let expired = self.backlog.iter().filter(is_expired);
-        let expired: Vec<_> =
-            expired.map(|w| (w.call.id, self.fleet.has_open(&w.call.service, now))).collect();
-        for (id, is_any_open) in expired {
-            let reason = if is_any_open { Reason::Deadline } else { Reason::NoUpstream };
-            self.refuse(now, id, reason);
-        }
-    }
-
-    /// Refuses waiting requests whose upstreams all asked for a pause that ends
-    /// too late for them.
-    fn refuse_paused(&mut self, now: Instant) {
-        let services: BTreeSet<_> = self.backlog.iter().map(|w| w.call.service.clone()).collect();
-        for service in services {
-            let Some(opens_at) = self.fleet.opens_at(&service, now) else { continue };
-            let is_late =
-                |w: &&Waiting| w.call.service == service && opens_at >= latest_start(&w.call);
-            let late = self.backlog.iter().filter(is_late);
-            let late: Vec<_> = late.map(|w| w.call.id).collect();
-            for id in late {
-                self.refuse_until(now, id, opens_at, Reason::NoUpstream);
-            }
-        }
-    }
-
     fn tick(&mut self, now: Instant) {
         self.expire_peers(now);
         self.quarantine.expire(now);
@@ -562,23 +491,3 @@
         self.gossip(now);
     }
 }
-
-/// The latest time at which a request can be sent, so that its caller has an
-/// answer in time.
-fn latest_start(call: &Call) -> Instant {
-    let timeout = call.first_byte_deadline.saturating_duration_since(call.arrived);
-    let by_wait = call.arrived + timeout.mul_f64(MAX_WAIT_FRACTION);
-    let by_margin = call.first_byte_deadline.checked_sub(ANSWER_MARGIN);
-    by_margin.map_or(by_wait, |at| at.min(by_wait))
-}
-
-/// The time after which a caller may retry a request that is not sent before
-/// `opens_at`, with jitter.
-fn retry_after(request: id::Request, opens_at: Instant, now: Instant) -> Duration {
-    opens_at.saturating_duration_since(now) + MIN_RETRY_AFTER.mul_f64(jitter(request))
-}
-
-/// A fraction of 1 that differs from request to request.
-fn jitter(request: id::Request) -> f64 {
-    (stable_hash(request) % 1_024) as f64 / 1_024.0
-}
--- a/crates/core/tests/entry/quarantine.rs
+++ b/crates/core/tests/entry/quarantine.rs
@@ -235,8 +235,9 @@
     }
 }
 
-/// All engines crash every few seconds, so that hardly anything is answered.
-fn engines_that_crash_all_the_time(_site: Site) {
+/// Something befalls one engine after the other, every few steps, while sound
+/// requests are sent: nothing is quarantined.
+fn troubles(steps: u64, trouble: fn(&mut Network, usize)) {
     for seed in 0..4 {
         let mut network = Network::new(SMALL, seed);
         let mut traffic = Traffic::new(Rates { sound: 20.0, deadly: 0.0 });
@@ -244,25 +245,9 @@
         network.play(Duration::from_secs(30), |n| {
             traffic.step(n);
             step += 1;
-            if step % 40 == 0 {
-                n.crash((step as usize / 40) % n.size.engines);
-            }
-        });
-        assert_eq!(network.quarantined, Vec::<Vec<id::Part>>::new(), "seed {seed}");
-    }
-}
-
-/// Engines end one connection now and then and live on.
-fn engines_that_cut_connections(_site: Site) {
-    for seed in 0..4 {
-        let mut network = Network::new(SMALL, seed);
-        let mut traffic = Traffic::new(Rates { sound: 20.0, deadly: 0.0 });
-        let mut step = 0;
-        network.play(Duration::from_secs(30), |n| {
-            traffic.step(n);
-            step += 1;
-            if step % 15 == 0 {
-                n.cut_one((step as usize / 15) % n.size.engines);
+            if step % steps == 0 {
+                let engine = (step / steps) as usize % n.size.engines;
+                trouble(n, engine);
             }
         });
         assert_eq!(network.quarantined, Vec::<Vec<id::Part>>::new(), "seed {seed}");
@@ -281,6 +266,6 @@
     two_prompt_parts_that_crash_engines_are_kept_from_them => two_deadly_parts;
     crashes_of_something_else_condemn_nothing => |_| other_crashes(SMALL, 6);
     crashes_of_something_else_condemn_nothing_among_60_instances => |_| other_crashes(MEDIUM, 2);
-    engines_that_crash_all_the_time_condemn_nothing => engines_that_crash_all_the_time;
-    engines_that_cut_connections_condemn_nothing => engines_that_cut_connections;
+    engines_that_crash_all_the_time_condemn_nothing => |_| troubles(40, Network::crash);
+    engines_that_cut_connections_condemn_nothing => |_| troubles(15, Network::cut_one);
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod log;
 pub mod metrics;
 pub mod pool;
+mod record;
 pub mod relay;
 pub mod reply;
 pub mod runtime;
