Do not take up again a quarantine that has ended for others

Found by reading: instances pass each other the age of a quarantine, and the time on the way is not part of it. One for which it had ended could learn it again from a peer for which it was about to, and so on by turns. What ends within 5 s is no longer learnt from peers. The new test (all of 6 instances send such prompts again after 606 s) passes on the code before too: with messages of 10 ms every 400 ms the turns do not meet; the fault was not reproduced.

--- a/crates/core/src/entry/quarantine/mod.rs
+++ b/crates/core/src/entry/quarantine/mod.rs
@@ -3,8 +3,8 @@
 //! A part of a prompt may crash each engine that begins to answer it. Requests with
 //! it arrive at all instances, no two alike, and sound ones share their team and
 //! their other parts. Each instance tells the others which prompts an upstream was
-//! answering when it crashed and which of them were answered completely elsewhere;
-//! what remains as the cause is quarantined by all of them.
+//! answering when it crashed and which parts were answered without a crash; what
+//! remains as the cause is quarantined by all of them.
 
 mod evidence;
 
@@ -17,6 +17,9 @@
 
 /// How long a quarantine lasts; after it, the parts are tried again.
 const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+/// A quarantine that ends within this time is not learnt from peers any more, so that
+/// those for which it has ended do not take it up again.
+const ENDING_TIME: Duration = Duration::from_secs(5);
 /// A prompt crashes an upstream within this time from the head of its answer on.
 const SUSPICION_TIME: Duration = Duration::from_millis(300);
 /// The time in which all instances report what they know of a crash.
@@ -140,7 +143,7 @@
     fn merge(&mut self, quarantined: Quarantined, now: Instant) -> bool {
         let since = now.checked_sub(quarantined.age).unwrap_or(now);
         let lifted = quarantined.lifted_age.and_then(|age| now.checked_sub(age));
-        if quarantined.parts.is_empty() || since + QUARANTINE_TIME <= now {
+        if quarantined.parts.is_empty() || since + QUARANTINE_TIME <= now + ENDING_TIME {
             return false;
         }
         let Some(group) = self.groups.iter_mut().find(|g| g.parts == quarantined.parts) else {
--- a/crates/core/tests/entry/quarantine.rs
+++ b/crates/core/tests/entry/quarantine.rs
@@ -160,6 +160,21 @@
     }
 }
 
+/// A quarantine ends at all instances although they tell each other of it.
+fn end_of_quarantine(_site: Site) {
+    let mut traffic = Traffic::new(Rates { sound: 20.0, deadly: 2.0 });
+    let (mut network, _) = until_bound(Network::new(SMALL, 1), &mut traffic);
+    assert!(!network.quarantined.is_empty());
+    network.play(Duration::from_secs(606), |_| {});
+    network.crashes_engines = false;
+    let before = network.tally("deadly");
+    for index in 0..SMALL.instances {
+        network.request_to(index, "deadly", &[FIRST, DEADLY]);
+    }
+    network.play(Duration::from_secs(2), |_| {});
+    assert_eq!(since(before, network.tally("deadly")).whole, SMALL.instances as u32);
+}
+
 /// Deadly requests are all that come with their middle part and few among many.
 fn rare_deadly_part(_site: Site) {
     let mut traffic = Traffic::new(Rates { sound: 25.0, deadly: 0.4 });
@@ -261,6 +276,7 @@
     quarantine_is_known_where_gossip_is_lost => lost_gossip;
     quarantine_is_known_to_restarted_instances => restarts;
     quarantine_is_learnt_again_when_all_instances_restart => restart_of_all;
+    quarantine_ends_at_all_instances => end_of_quarantine;
     rare_prompt_part_that_crashes_engines_is_kept_from_them => rare_deadly_part;
     prompt_part_that_begins_to_crash_engines_is_kept_from_them => part_that_turns_deadly;
     two_prompt_parts_that_crash_engines_are_kept_from_them => two_deadly_parts;
