Keep nothing of a limit that has ended, and let it end for all

Found by reading: requests went on to be recorded for an upstream whose limit had ended, without bound, and a limit named again was not assumed as used. Nothing is recorded without a limit; the order is mended.

Learning from peers needs 100 ms of difference now, as what they know seems newer by the time of its message.

--- a/crates/core/src/entry/limit.rs
+++ b/crates/core/src/entry/limit.rs
@@ -25,6 +25,8 @@
 const MAX_RATE: RequestRate = RequestRate(1_000.0);
 /// Requests that are sent within this time are counted as one entry.
 const ENTRY_TIME: Duration = Duration::from_millis(20);
+/// How much newer a peer's knowledge seems to be by the time of its message.
+const SKEW: Duration = Duration::from_millis(100);
 /// How long a change is repeated in each message.
 const NEWS_TIME: Duration = Duration::from_secs(1);
 /// The most instances whose turns follow each other; of more, several have theirs
@@ -141,7 +143,7 @@
     /// limit.
     pub fn receive(&mut self, limit: &gossip::Limit, now: Instant) -> bool {
         let stated_at = now.checked_sub(limit.age).unwrap_or(now);
-        stated_at > self.stated_at && self.set(limit.rate, stated_at, now)
+        stated_at > self.stated_at + SKEW && self.set(limit.rate, stated_at, now)
     }
 
     fn set(&mut self, rate: Option<RequestRate>, stated_at: Instant, now: Instant) -> bool {
@@ -149,10 +151,11 @@
         if has_changed {
             self.changed_at = now;
         }
-        if self.rate.is_none() && rate.is_some() {
+        let is_new = self.rate.is_none() && rate.is_some();
+        self.rate = rate;
+        if is_new {
             self.assume_used(now);
         }
-        self.rate = rate;
         self.stated_at = stated_at;
         has_changed
     }
@@ -202,7 +205,7 @@
     }
 
     fn record(&mut self, at: Instant, count: u32, is_own: bool) {
-        if count == 0 {
+        if count == 0 || self.rate.is_none() {
             return;
         }
         match self.entries.back_mut() {
@@ -218,6 +221,9 @@
     /// Sets this instance's turn, and forgets what was long ago.
     pub fn set_turn(&mut self, turn: Option<Turn>, now: Instant) {
         self.turn = turn;
+        if self.rate.is_none() {
+            self.entries.clear();
+        }
         let (_, window) = self.capacity(1.0);
         let is_old = |entry: &Entry| now.saturating_duration_since(entry.at) > window * 2;
         while self.entries.front().is_some_and(is_old) {
--- a/crates/core/src/entry/upstream.rs
+++ b/crates/core/src/entry/upstream.rs
@@ -312,6 +312,11 @@
         self.limit.as_ref().and_then(Limit::rate)
     }
 
+    /// Whether it names a limit, or did so before.
+    pub fn was_limited(&self) -> bool {
+        self.limit.is_some()
+    }
+
     /// Whether its limit allows this instance one more request now.
     pub(super) fn is_within_limit(&self, now: Instant) -> bool {
         self.limit.as_ref().is_none_or(|limit| limit.has_room(now))
--- a/crates/core/tests/entry/limit.rs
+++ b/crates/core/tests/entry/limit.rs
@@ -166,7 +166,8 @@
     }
 }
 
-/// An engine that names no limit any more is used as before.
+/// An engine that names no limit any more is used as before, and limited again when
+/// it names one again.
 fn lifted(size: Size) {
     let mut network = Network::new(size, 1);
     let limited = with_limits(&mut network, 1.0);
@@ -180,6 +181,11 @@
         let got = arrivals_between(&network, engine, from, network.now);
         assert!(got > 12, "engine {engine} got {got} in 6 s");
     }
+    let limited = with_limits(&mut network, 1.0);
+    let from = network.now + CONTACT;
+    network.play(Duration::from_secs(12), &mut traffic);
+    check(&network, &limited, 1.0, from);
+    check_use(&network, &limited, 1.0, from);
 }
 
 /// A lower limit holds once the engine names it.
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -195,8 +195,13 @@
         sent: std::time::Instant,
     ) {
         let Registration { id, incarnation, .. } = upstream;
-        let known = self.handle.ask(|s| s.fleet().get(id).and_then(|u| u.limit())).flatten();
-        if rate.is_none() && known.is_none() {
+        let (was_limited, known) = self
+            .handle
+            .ask(|s| s.fleet().get(id).map(|u| (u.was_limited(), u.limit())))
+            .flatten()
+            .unwrap_or_default();
+        // That a limit has ended is repeated, for peers that still keep it.
+        if rate.is_none() && !was_limited {
             return;
         }
         if rate != known {
