Count answers in messages only where an engine has crashed

They are sent while a crash is remembered; the first count of a peer is the start from which its answers count.

--- a/crates/core/src/entry/gossip.rs
+++ b/crates/core/src/entry/gossip.rs
@@ -103,7 +103,8 @@
     pub answered: Vec<Answered>,
     /// The parts in quarantine.
     pub quarantined: Vec<Quarantined>,
-    /// The complete answers that the sender has passed on since its start.
+    /// The complete answers that the sender has passed on since its start, by service;
+    /// empty without a crash in the last minutes.
     pub answers: Vec<(id::Service, u64)>,
 }
 
--- a/crates/core/src/entry/quarantine/mod.rs
+++ b/crates/core/src/entry/quarantine/mod.rs
@@ -231,6 +231,8 @@
             age: age(group.since),
             lifted_age: group.lifted.map(age),
         };
+        // Without a crash nobody needs the counts.
+        let answers = self.answers.iter().filter(|_| self.evidence.newest().is_some());
         Prompts {
             crashes: self.evidence.crashes(NEWS_TIME, now).take(MAX_CRASHES_PER_MESSAGE).collect(),
             answered: self
@@ -239,7 +241,7 @@
                 .take(MAX_ANSWERED_PER_MESSAGE)
                 .collect(),
             quarantined: self.groups.iter().map(quarantined).collect(),
-            answers: self.answers.iter().map(|(s, count)| (s.clone(), *count)).collect(),
+            answers: answers.map(|(s, count)| (s.clone(), *count)).collect(),
         }
     }
 }
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -87,9 +87,10 @@
             }
         }
         for (service, total) in &gossip.prompts.answers {
-            let Some(before) = before else { break };
-            let before = before.answers.get(service).copied().unwrap_or_default();
-            self.quarantine.count_answers(service, total.saturating_sub(before));
+            let before = before.and_then(|before| before.answers.get(service));
+            if let Some(before) = before {
+                self.quarantine.count_answers(service, total.saturating_sub(*before));
+            }
         }
         let is_heard_again = known.is_none_or(|peer| peer.is_silent);
         let is_running_peer = before.is_none() && !is_new && self.options.is_joining;
