Find a deadly part sooner where hardly anything is answered

And a connection to an engine that is down, which ends at once, made a moment without the part, after which none was "all" any more.

--- a/crates/core/src/entry/quarantine/evidence.rs
+++ b/crates/core/src/entry/quarantine/evidence.rs
@@ -23,9 +23,11 @@
 const MOMENT: Duration = Duration::from_millis(250);
 /// A part that was part of fewer moments is not quarantined.
 const MIN_MOMENTS: usize = 3;
-/// A part that was never answered and is part of so many moments, without any other
+/// A part that was never answered and is part of so many moments, with hardly another
 /// moment among them, is quarantined.
-const MIN_MOMENTS_OF_ALL: usize = 6;
+const MIN_MOMENTS_OF_ALL: usize = 4;
+/// Each moment without it has to be made up by so many with it.
+const MIN_PRESENT_FOR_ABSENT: usize = 5;
 /// How many parts are remembered as answered.
 const MAX_ANSWERED: usize = 4_096;
 /// How much likelier a part must be the cause of its crashes than chance.
@@ -285,7 +287,8 @@
         let is_cause = |part, present: &[usize]| {
             let prior = if self.was_answered(part) { ANSWERED_ODDS } else { 1.0 };
             let odds = self.odds(part, present, &moments, answers).map(|odds| odds * prior);
-            odds.is_some_and(|odds| odds >= min_odds) || self.is_in_all(part, present, &moments)
+            odds.is_some_and(|odds| odds >= min_odds)
+                || self.is_in_nearly_all(part, present, &moments)
         };
         candidates.into_iter().find_map(|(part, present)| {
             is_cause(*part, present).then(|| self.with_companions(*part, &suspects, &moments))?
@@ -297,12 +300,19 @@
         self.answered.get(&part).is_some_and(Option::is_some)
     }
 
-    /// Whether a part that was never answered is present in all crashes for a while:
+    /// Whether a part that was never answered is present in nearly all crashes for a while:
     /// where hardly anything is answered any more, this is all that can be told.
-    fn is_in_all(&self, part: id::Part, present: &[usize], moments: &[Vec<&Record>]) -> bool {
+    fn is_in_nearly_all(
+        &self,
+        part: id::Part,
+        present: &[usize],
+        moments: &[Vec<&Record>],
+    ) -> bool {
+        let Some(first) = present.first() else { return false };
+        let absent = moments.len() - first - present.len();
         !self.was_answered(part)
             && present.len() >= MIN_MOMENTS_OF_ALL
-            && present.first().is_some_and(|first| moments.len() - first == present.len())
+            && absent * MIN_PRESENT_FOR_ABSENT <= present.len()
     }
 
     /// A part with those that are present in the same prompts; none if another part
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -31,6 +31,8 @@
 /// How long the body of a response is awaited whose head states that the request did
 /// not run; without it, the connection is closed.
 const REJECTION_TIMEOUT: Duration = Duration::from_millis(50);
+/// An upstream does not begin to answer a request sooner than this.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(10);
 /// The fraction of the time left after which an idempotent request without a
 /// response may be rerouted.
 const REROUTE_FRACTION: f64 = 0.45;
@@ -214,7 +216,10 @@
             Err(pool::Error::NotSent) => return Outcome::Failed(Ended::NotSent, None),
             Err(pool::Error::Invalid) => return self.broken(),
             Err(pool::Error::Lost) => {
-                self.record_lost_connection(upstream, None, directives);
+                // One that ends at once was closed before, or nothing listens behind it.
+                if clock::now() >= started + MIN_ANSWER_TIME {
+                    self.record_lost_connection(upstream, None, directives);
+                }
                 return self.broken();
             }
         };
