Log what tells whether two requests that lost their connection are alike

A lost connection was logged with its team and shared parts only, so that a request that comes again and crashes each engine could not be told from load that brings down one engine after the other.

--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -61,6 +61,8 @@
     pub answer: Tokens,
     /// The tokens that it counts against its team's quota.
     pub cost: Tokens,
+    /// The same for a request that comes again.
+    pub fingerprint: id::Fingerprint,
     /// The parts of its prompt that other requests may share.
     pub shared_parts: Arc<[id::Part]>,
 }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -160,6 +160,11 @@
     /// One run of an instance; after a restart it has a higher number.
     Incarnation
 );
+number_id!(
+    /// What a request asks for and who sends it: the same for a request that comes
+    /// again, and different for others.
+    Fingerprint
+);
 number_id!(
     /// A part of a prompt, which requests may share.
     Part
--- a/crates/core/tests/entry/site.rs
+++ b/crates/core/tests/entry/site.rs
@@ -100,6 +100,7 @@
             prompt: Tokens(1_000),
             answer: Tokens(100),
             cost: Tokens(1_100),
+            fingerprint: id::Fingerprint(id),
             shared_parts: [].into(),
         }
     }
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -14,10 +14,11 @@
 use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::call::{Call, Reason};
 use rosemarypond_core::entry::gossip::Leaving;
-use rosemarypond_core::entry::plan::{Denial, Limits, Match, Plan};
+use rosemarypond_core::entry::plan::{Denial, Limits, Match, Plan, Team};
 use rosemarypond_core::entry::proof::Proof;
 use rosemarypond_core::entry::scheduler::Event;
 use rosemarypond_core::entry::upstream::Registration;
+use rosemarypond_core::hash::stable_hash;
 use rosemarypond_core::id;
 use rosemarypond_core::unit::{RequestRate, Tokens};
 use slog::{Logger, info};
@@ -298,7 +299,9 @@
         if head.credential.is_some() && !found.route.is_public && !self.is_plan_current() {
             return Err(not_ready(Reason::Stale));
         }
-        let call = self.new_call(&head, &found, arrived).ok_or(Refusal::NoRoute)?;
+        let fingerprint = fingerprint(&parts, &head, found.team.as_deref(), &body);
+        let call = self.new_call(&head, &found, fingerprint, arrived);
+        let call = call.ok_or(Refusal::NoRoute)?;
         let service = plan.service(&call.service);
         let tokens_per_event = service.map_or(1, |s| s.tokens_per_event);
         let Match { route, team } = found;
@@ -328,7 +331,13 @@
 
     /// Describes a request to the scheduler; returns `None` where its route leads
     /// to no service.
-    fn new_call(&self, head: &Head, found: &Match, arrived: std::time::Instant) -> Option<Call> {
+    fn new_call(
+        &self,
+        head: &Head,
+        found: &Match,
+        fingerprint: id::Fingerprint,
+        arrived: std::time::Instant,
+    ) -> Option<Call> {
         let route = &found.route;
         let team = found.team.as_deref();
         let timeout =
@@ -350,11 +359,24 @@
             prompt: head.prompt,
             answer: head.answer,
             cost: head.cost.unwrap_or(Tokens(default_cost)),
+            fingerprint,
             shared_parts: head.shared_parts.as_slice().into(),
         })
     }
 }
 
+/// What a request asks for and who sends it.
+fn fingerprint(
+    parts: &http::request::Parts,
+    head: &Head,
+    team: Option<&Team>,
+    body: &[u8],
+) -> id::Fingerprint {
+    let path = parts.uri.path_and_query().map(|path| path.as_str());
+    let team = team.map(|team| &team.id);
+    id::Fingerprint(stable_hash((parts.method.as_str(), &head.host, path, team, body)))
+}
+
 async fn read_body(body: Incoming, limit: usize, memory: &mut Memory) -> Result<Bytes, Refusal> {
     if body.size_hint().lower() > limit as u64 {
         return Err(Refusal::BodyTooLong);
--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -57,7 +57,7 @@
             "request" => &self.head.request, "upstream" => upstream.id.as_str(),
             "answering_ms" => answering.map(|time| time.as_millis() as u64),
             "team" => self.team.as_ref().map(|t| t.id.as_str()),
-            "shared_parts" => parts.join(","));
+            "fingerprint" => %self.call.fingerprint, "shared_parts" => parts.join(","));
     }
 
     /// Logs and counts a request whose caller disconnected.
