Keep requests from upstreams that they crash, over all instances

Cause: the quarantine knew parts of prompts only. A lost connection of a plain service was judged by nothing, and a prompt that came again whole counted as new; each crash was met by the next engine.

Crashes that only repeat known requests no longer speak against parts. The record of crashes is split from the evidence on parts.

--- a/crates/core/benches/scheduler.rs
+++ b/crates/core/benches/scheduler.rs
@@ -92,7 +92,7 @@
             digest: None,
             leaving_upstreams: vec![],
             limits: vec![],
-            prompts: Box::default(),
+            dangers: Box::default(),
             watermark: Watermark::default(),
         };
         self.handle(Event::Received(gossip));
--- a/crates/core/src/entry/gossip.rs
+++ b/crates/core/src/entry/gossip.rs
@@ -57,7 +57,18 @@
     pub admitted: Vec<(id::Team, u64)>,
 }
 
-/// An upstream that ended the connections on which it had begun to answer prompts.
+/// A request whose connection an upstream ended before its answer was complete.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Lost {
+    /// The same for a request that comes again.
+    pub fingerprint: id::Fingerprint,
+    /// The time from when it was sent to the end of its connection.
+    pub ran: Duration,
+    /// The shared parts of its prompt.
+    pub parts: Vec<id::Part>,
+}
+
+/// An upstream that ended the connections on which it had begun to answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Crash {
     /// The upstream.
@@ -68,40 +79,58 @@
     pub service: id::Service,
     /// How long ago.
     pub age: Duration,
-    /// The shared parts of the prompts.
-    pub prompts: Vec<Vec<id::Part>>,
+    /// The requests that it was answering.
+    pub requests: Vec<Lost>,
     /// Whether it was seen alive afterwards.
     pub is_refuted: bool,
 }
 
-/// A part of prompts that was answered without a crash.
+/// What a crash may speak against.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Suspect {
+    /// A part of prompts.
+    Part(id::Part),
+    /// A request that comes again.
+    Request(id::Fingerprint),
+}
+
+/// What was answered without a crash.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answered {
-    /// The part.
-    pub part: id::Part,
+    /// What it is.
+    pub suspect: Suspect,
     /// How long ago.
     pub age: Duration,
 }
 
-/// Parts that are kept from upstreams where a prompt has all of them.
+/// What crashes upstreams.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// Prompts that have all of these parts.
+    Parts(Vec<id::Part>),
+    /// A request that comes again.
+    Request(id::Fingerprint),
+}
+
+/// What is kept from upstreams.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Quarantined {
-    /// The parts.
-    pub parts: Vec<id::Part>,
+    /// What it is.
+    pub cause: Cause,
     /// For how long.
     pub age: Duration,
-    /// The time since a prompt with all of them was answered completely, if it was.
+    /// The time since such a request was answered completely, if it was.
     pub lifted_age: Option<Duration>,
 }
 
-/// What the sender knows of prompts that crash upstreams.
+/// What the sender knows of requests that crash upstreams.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Prompts {
+pub struct Dangers {
     /// The latest crashes.
     pub crashes: Vec<Crash>,
-    /// Parts that crashes speak against, and answers since then for.
+    /// What crashes speak against, and answers since then for.
     pub answered: Vec<Answered>,
-    /// The parts in quarantine.
+    /// What is in quarantine.
     pub quarantined: Vec<Quarantined>,
     /// The complete answers that the sender has passed on since its start, by service;
     /// empty without a crash in the last minutes.
@@ -135,8 +164,8 @@
     pub leaving_upstreams: Vec<Leaving>,
     /// The limits of upstreams.
     pub limits: Vec<Limit>,
-    /// What it knows of prompts that crash upstreams.
-    pub prompts: Box<Prompts>,
+    /// What it knows of requests that crash upstreams.
+    pub dangers: Box<Dangers>,
     /// What it knows of the shared store.
     pub watermark: Watermark,
 }
--- a/crates/core/src/entry/quarantine/evidence.rs
+++ b/crates/core/src/entry/quarantine/evidence.rs
@@ -5,22 +5,12 @@
 //! told apart by how often prompts without the part end in a crash meanwhile.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::time::{Duration, Instant};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::Instant;
 
-use crate::entry::gossip::{Answered, Crash};
+use super::crashes::{Answers, Crashes, Record, moments_of};
 use crate::id;
 
-/// How long a crash counts.
-const LIFETIME: Duration = Duration::from_secs(300);
-/// The most crashes that are remembered.
-const MAX_CRASHES: usize = 64;
-/// The most prompts that are remembered of a crash.
-const MAX_PROMPTS: usize = 8;
-/// The most shared parts that are remembered of a prompt.
-const MAX_PARTS: usize = 16;
-/// Crashes within this time may have one common cause and count as one.
-const MOMENT: Duration = Duration::from_millis(250);
 /// A part that was part of fewer moments is not quarantined.
 const MIN_MOMENTS: usize = 3;
 /// A part that was never answered and is part of so many moments, with hardly another
@@ -28,8 +18,6 @@
 const MIN_MOMENTS_OF_ALL: usize = 4;
 /// Each moment without it has to be made up by so many with it.
 const MIN_PRESENT_FOR_ABSENT: usize = 5;
-/// How many parts are remembered as answered.
-const MAX_ANSWERED: usize = 4_096;
 /// How much likelier a part must be the cause of its crashes than chance.
 const MIN_ODDS: f64 = 10_000.0;
 /// How much likelier a part that was answered before is the cause than another one.
@@ -37,105 +25,19 @@
 /// A prompt whose parts are this much likelier the cause is not sent to another
 /// upstream after its connection was lost.
 const SUSPICION_ODDS: f64 = 30.0;
-/// How late instances may learn of one event after another.
-const SKEW: Duration = Duration::from_millis(100);
-/// An upstream that answers a request sent this long after its supposed crash ...
-const REFUTATION_DELAY: Duration = Duration::from_millis(50);
-/// ... and no later than this has not crashed; later it may have been restarted.
-const REFUTATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// A crash of an upstream.
-#[derive(Debug)]
-struct Record {
-    upstream: id::Upstream,
-    incarnation: u64,
-    service: id::Service,
-    at: Instant,
-    /// The shared parts of the prompts that it was answering.
-    prompts: Vec<Vec<id::Part>>,
-    /// Whether the upstream was seen alive afterwards.
-    is_refuted: bool,
-    /// The complete answers of its service that were known then.
-    answers_before: u64,
-}
-
-impl Record {
-    fn has(&self, part: id::Part) -> bool {
-        self.prompts.iter().any(|prompt| prompt.contains(&part))
-    }
-
-    fn has_all(&self, parts: &[id::Part]) -> bool {
-        self.prompts.iter().any(|prompt| parts.iter().all(|part| prompt.contains(part)))
-    }
-}
-
-/// The crashes and answers of the last minutes, over all instances.
+/// What is known of the parts of prompts.
 #[derive(Debug, Default)]
 pub struct Evidence {
-    /// By the time at which they happened.
-    records: Vec<Record>,
-    /// When each part was last answered; none for parts of the records that were not.
-    answered: HashMap<id::Part, Option<Instant>>,
+    /// When each part was last answered.
+    answered: Answers<id::Part>,
     /// Complete answers by service.
     answers: HashMap<id::Service, u64>,
 }
 
 impl Evidence {
-    /// Adds a crash, or what another instance knows of it; returns whether it
-    /// changes anything.
-    pub fn add_crash(&mut self, crash: Crash, now: Instant) -> bool {
-        let at = now.checked_sub(crash.age).unwrap_or(now);
-        if crash.age > LIFETIME {
-            return false;
-        }
-        let is_same = |r: &Record| {
-            r.upstream == crash.upstream
-                && r.incarnation == crash.incarnation
-                && at.saturating_duration_since(r.at) < REFUTATION_TIMEOUT
-                && r.at.saturating_duration_since(at) < REFUTATION_TIMEOUT
-        };
-        let index = match self.records.iter().position(is_same) {
-            Some(index) => index,
-            None => self.insert(&crash, at),
-        };
-        let record = &mut self.records[index];
-        let mut has_changed = crash.is_refuted && !record.is_refuted;
-        record.is_refuted |= crash.is_refuted;
-        for mut prompt in crash.prompts {
-            prompt.truncate(MAX_PARTS);
-            prompt.sort_unstable();
-            prompt.dedup();
-            let is_new = !prompt.is_empty() && !record.prompts.contains(&prompt);
-            if is_new && record.prompts.len() < MAX_PROMPTS {
-                for part in &prompt {
-                    self.answered.entry(*part).or_default();
-                }
-                record.prompts.push(prompt);
-                has_changed = true;
-            }
-        }
-        has_changed
-    }
-
-    fn insert(&mut self, crash: &Crash, at: Instant) -> usize {
-        if self.records.len() == MAX_CRASHES {
-            self.records.remove(0);
-        }
-        let index = self.records.partition_point(|r| r.at <= at);
-        let record = Record {
-            upstream: crash.upstream.clone(),
-            incarnation: crash.incarnation,
-            service: crash.service.clone(),
-            at,
-            prompts: vec![],
-            is_refuted: false,
-            answers_before: self.answers_of(&crash.service),
-        };
-        self.records.insert(index, record);
-        index
-    }
-
-    fn answers_of(&self, service: &id::Service) -> u64 {
+    /// The complete answers of a service.
+    pub fn answers_of(&self, service: &id::Service) -> u64 {
         self.answers.get(service).copied().unwrap_or_default()
     }
 
@@ -148,98 +50,26 @@
     /// Records that a prompt with a part was answered, or was being answered for a
     /// while when its upstream crashed; returns whether a crash no longer speaks
     /// against the part.
-    pub fn add_answered(&mut self, part: id::Part, at: Instant) -> bool {
-        if self.answered.len() >= MAX_ANSWERED {
-            self.forget_parts(at);
-        }
-        let answered = self.answered.entry(part).or_default();
-        let before = answered.replace(answered.map_or(at, |known| known.max(at)));
-        let is_cleared =
-            |r: &Record| r.has(part) && r.at < at + SKEW && before.is_none_or(|b| b + SKEW < r.at);
-        self.records.iter().any(is_cleared)
+    pub fn add_answered(&mut self, part: id::Part, at: Instant, crashes: &Crashes) -> bool {
+        let is_needed = |part| crashes.iter().any(|r| r.has(part));
+        let with_part = crashes.iter().filter(|r| r.has(part)).map(|r| r.at);
+        self.answered.add(part, at, is_needed, with_part)
     }
 
-    /// Records that an upstream answers a request that was `sent`; returns whether
-    /// that refutes a crash.
-    pub fn add_alive(
-        &mut self,
-        upstream: &id::Upstream,
-        incarnation: u64,
-        sent: Instant,
-        now: Instant,
-    ) -> bool {
-        let is_refuted = |r: &&mut Record| {
-            r.upstream == *upstream
-                && r.incarnation == incarnation
-                && !r.is_refuted
-                && sent > r.at + REFUTATION_DELAY
-                && now < r.at + REFUTATION_TIMEOUT
-        };
-        let mut has_changed = false;
-        for record in self.records.iter_mut().filter(is_refuted) {
-            record.is_refuted = true;
-            has_changed = true;
-        }
-        has_changed
-    }
-
-    /// Forgets crashes that were long ago.
-    pub fn expire(&mut self, now: Instant) {
-        self.records.retain(|r| now.saturating_duration_since(r.at) < LIFETIME);
-    }
-
-    /// Forgets the parts that are not suspected, but for the half that was answered
-    /// last.
-    fn forget_parts(&mut self, now: Instant) {
-        let age = |at: &Option<Instant>| at.map(|at| now.saturating_duration_since(at));
-        let mut ages: Vec<_> = self.answered.values().filter_map(age).collect();
-        ages.sort_unstable();
-        let oldest = ages.get(MAX_ANSWERED / 2).copied().unwrap_or_default();
-        let records = &self.records;
-        self.answered.retain(|part, at| {
-            age(at).is_some_and(|age| age < oldest) || records.iter().any(|r| r.has(*part))
-        });
-    }
-
-    /// The latest crashes, as far as they are not older than `age`.
-    pub fn crashes(&self, age: Duration, now: Instant) -> impl Iterator<Item = Crash> {
-        let is_fresh = move |r: &&Record| now.saturating_duration_since(r.at) < age;
-        self.records.iter().rev().take_while(is_fresh).map(move |r| Crash {
-            upstream: r.upstream.clone(),
-            incarnation: r.incarnation,
-            service: r.service.clone(),
-            age: now.saturating_duration_since(r.at),
-            prompts: r.prompts.clone(),
-            is_refuted: r.is_refuted,
-        })
-    }
-
-    /// The parts that crashes not older than `age` speak against, and answers since
-    /// then for.
-    pub fn answered(&self, age: Duration, now: Instant) -> impl Iterator<Item = Answered> {
-        let fresh = self.records.iter().rev();
-        let fresh = fresh.take_while(move |r| now.saturating_duration_since(r.at) < age);
-        let parts: BTreeSet<_> =
-            fresh.flat_map(|r| r.prompts.iter().flatten().map(|part| (*part, r.at))).collect();
-        let answered = |(part, crashed): (id::Part, Instant)| {
-            let at =
-                self.answered.get(&part).copied().flatten().filter(|at| *at + SKEW > crashed)?;
-            Some((part, at))
-        };
-        let answered: BTreeMap<_, _> = parts.into_iter().filter_map(answered).collect();
-        answered
-            .into_iter()
-            .map(move |(part, at)| Answered { part, age: now.saturating_duration_since(at) })
-    }
-
-    /// When the last crash happened.
-    pub fn newest(&self) -> Option<Instant> {
-        self.records.last().map(|r| r.at)
+    /// The parts that `crashes` speak against, and answers since then for.
+    pub fn answered<'a>(
+        &self,
+        crashes: impl Iterator<Item = &'a Record>,
+    ) -> BTreeMap<id::Part, Instant> {
+        let parts =
+            crashes.flat_map(|r| r.requests.iter().flat_map(|q| &q.parts).map(|p| (*p, r.at)));
+        let answered = parts.filter(|(part, crash)| self.answered.is_after(*part, *crash));
+        answered.filter_map(|(part, _)| Some((part, self.answered.last(part)?))).collect()
     }
 
     /// The parts that are likely to be the cause of crashes, but not certain.
-    pub fn find_suspect(&self) -> Option<Vec<id::Part>> {
-        self.find(None, SUSPICION_ODDS, |_| false)
+    pub fn find_suspect(&self, crashes: &Crashes) -> Option<Vec<id::Part>> {
+        self.find(crashes, None, SUSPICION_ODDS, |_| false)
     }
 
     /// The parts that all prompts which crashed upstreams until `settled` have in
@@ -247,24 +77,26 @@
     /// explains.
     pub fn find_cause(
         &self,
+        crashes: &Crashes,
         settled: Instant,
         is_known: impl Fn(&[id::Part]) -> bool,
     ) -> Option<Vec<id::Part>> {
-        self.find(Some(settled), MIN_ODDS, is_known)
+        self.find(crashes, Some(settled), MIN_ODDS, is_known)
     }
 
     fn find(
         &self,
+        crashes: &Crashes,
         until: Option<Instant>,
         min_odds: f64,
         is_known: impl Fn(&[id::Part]) -> bool,
     ) -> Option<Vec<id::Part>> {
-        let services: BTreeSet<_> = self.records.iter().map(|r| &r.service).collect();
+        let services: BTreeSet<_> = crashes.iter().map(|r| &r.service).collect();
         services.into_iter().find_map(|service| {
             let is_counted = |r: &&Record| {
                 r.service == *service && !r.is_refuted && until.is_none_or(|at| r.at <= at)
             };
-            let mut records: Vec<_> = self.records.iter().filter(is_counted).collect();
+            let mut records = without_repetitions(crashes.iter().filter(is_counted));
             loop {
                 let cause = self.cause_of(&records, self.answers_of(service), min_odds)?;
                 if !is_known(&cause) {
@@ -297,7 +129,7 @@
 
     /// Whether a part was ever answered, as far as that is remembered.
     fn was_answered(&self, part: id::Part) -> bool {
-        self.answered.get(&part).is_some_and(Option::is_some)
+        self.answered.last(part).is_some()
     }
 
     /// Whether a part that was never answered is present in nearly all crashes for a while:
@@ -362,13 +194,13 @@
         let since = &moments[first..];
         let before = since.first()?.iter().map(|r| r.answers_before).min()?;
         let answers = answers.saturating_sub(before) as f64;
-        let prompts = || since.iter().flatten().flat_map(|r| &r.prompts);
-        let with_part = prompts().filter(|prompt| prompt.contains(&part)).count();
+        let prompts = || since.iter().flatten().flat_map(|r| &r.requests);
+        let with_part = prompts().filter(|prompt| prompt.parts.contains(&part)).count();
         let without = 1.0 - with_part as f64 / (prompts().count() as f64 + answers);
         let cause = present.len() as f64 / since.len() as f64;
         let mut odds = without.powf(answers).recip();
         for (index, moment) in since.iter().enumerate() {
-            let prompts: usize = moment.iter().map(|r| r.prompts.len()).sum();
+            let prompts: usize = moment.iter().map(|r| r.requests.len()).sum();
             let absent = without.powi(prompts as i32);
             let is_present = present.contains(&(first + index));
             odds *= if is_present { cause / (1.0 - absent) } else { (1.0 - cause) / absent };
@@ -383,10 +215,9 @@
         for (index, moment) in moments.iter().enumerate() {
             let mut counts: HashMap<id::Part, usize> = HashMap::new();
             for record in moment {
-                let parts: BTreeSet<_> = record.prompts.iter().flatten().copied().collect();
-                for part in parts {
-                    let answered = self.answered.get(&part).copied().flatten();
-                    if answered.is_none_or(|at| at + SKEW < record.at) {
+                let parts = record.requests.iter().flat_map(|request| &request.parts);
+                for part in parts.copied().collect::<BTreeSet<_>>() {
+                    if !self.answered.is_after(part, record.at) {
                         *counts.entry(part).or_default() += 1;
                     }
                 }
@@ -399,16 +230,13 @@
     }
 }
 
-/// Groups crashes by [`MOMENT`].
-fn moments_of<'a>(records: &[&'a Record]) -> Vec<Vec<&'a Record>> {
-    let mut moments: Vec<Vec<&Record>> = Vec::new();
-    for record in records {
-        match moments.last_mut() {
-            Some(moment) if record.at.saturating_duration_since(moment[0].at) < MOMENT => {
-                moment.push(record);
-            }
-            _ => moments.push(vec![record]),
-        }
-    }
-    moments
+/// Leaves out the crashes in which only requests were lost that were lost before: if
+/// one request crashes upstreams again and again, that tells nothing of its parts.
+fn without_repetitions<'a>(records: impl Iterator<Item = &'a Record>) -> Vec<&'a Record> {
+    let mut known = HashSet::new();
+    let has_news = |record: &&Record| {
+        let new = record.requests.iter().filter(|request| known.insert(request.fingerprint));
+        new.count() > 0 || record.requests.is_empty()
+    };
+    records.filter(has_news).collect()
 }
--- a/crates/core/src/entry/scheduler/crashes.rs
+++ b/crates/core/src/entry/scheduler/crashes.rs
@@ -5,9 +5,8 @@
 use super::{Action, Scheduler};
 use crate::entry::backlog::Waiting;
 use crate::entry::call::Reason;
-use crate::entry::gossip::{Crash, Prompts};
+use crate::entry::gossip::{Cause, Crash, Dangers, Lost};
 use crate::entry::quarantine;
-use crate::entry::upstream::Upstream;
 use crate::id;
 
 impl Scheduler {
@@ -19,29 +18,34 @@
         id: id::Request,
         answering: Option<Duration>,
     ) {
-        let Some((upstream, parts)) = self.running_on(id) else { return };
-        if parts.is_empty() {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(upstream) = held.upstream.as_ref().and_then(|id| self.fleet.get(id)) else {
             return;
-        }
+        };
+        held.lost += u32::from(quarantine::is_suspicious(answering));
+        let sent = upstream.started(id).unwrap_or(now);
+        let lost = Lost {
+            fingerprint: held.call.fingerprint,
+            ran: now.saturating_duration_since(sent),
+            parts: held.call.shared_parts.to_vec(),
+        };
         let registration = &upstream.registration;
         let crash = Crash {
             upstream: registration.id.clone(),
             incarnation: registration.incarnation,
             service: registration.service.clone(),
             age: Duration::ZERO,
-            prompts: vec![parts.to_vec()],
+            requests: vec![lost],
             is_refuted: false,
         };
         let has_changed = self.quarantine.record_lost(crash, answering, now);
-        if let Some(held) = self.held.get_mut(&id) {
-            held.lost += u32::from(quarantine::is_suspicious(answering));
-        }
         self.review_later(now, has_changed);
     }
 
     /// Records that the upstream of an attempt answers it.
     pub(super) fn record_alive(&mut self, now: Instant, id: id::Request) {
-        let Some((upstream, _)) = self.running_on(id) else { return };
+        let upstream = self.held.get(&id).and_then(|held| held.upstream.as_ref());
+        let Some(upstream) = upstream.and_then(|id| self.fleet.get(id)) else { return };
         let Some(sent) = upstream.started(id) else { return };
         let (id, incarnation) =
             (upstream.registration.id.clone(), upstream.registration.incarnation);
@@ -52,44 +56,48 @@
     /// Records that a request was answered completely.
     pub(super) fn record_answer(&mut self, now: Instant, id: id::Request) {
         let Some(held) = self.held.get(&id) else { return };
-        if held.call.shared_parts.is_empty() {
-            return;
-        }
-        let (service, parts) = (held.call.service.clone(), held.call.shared_parts.clone());
-        let has_changed = self.quarantine.record_answer(&service, &parts, now);
+        let has_changed = self.quarantine.record_answer(&held.call, now);
         self.review_later(now, has_changed);
     }
 
-    /// Adds what a peer knows of prompts that crash upstreams.
-    pub(super) fn receive_prompts(&mut self, now: Instant, prompts: Prompts) {
-        let has_changed = self.quarantine.receive(prompts, now);
+    /// Records that an upstream ran a request and answered with an error.
+    pub(super) fn record_failure(&mut self, now: Instant, id: id::Request) {
+        let Some(held) = self.held.get(&id) else { return };
+        let has_changed = self.quarantine.record_answered(held.call.fingerprint, &[], now);
         self.review_later(now, has_changed);
     }
 
-    /// The upstream on which a request runs, and the shared parts of its prompt.
-    fn running_on(&self, id: id::Request) -> Option<(&Upstream, &[id::Part])> {
-        let held = self.held.get(&id)?;
-        let upstream = self.fleet.get(held.upstream.as_ref()?)?;
-        Some((upstream, &held.call.shared_parts))
+    /// Adds what a peer knows of requests that crash upstreams.
+    pub(super) fn receive_dangers(&mut self, now: Instant, dangers: Dangers) {
+        let has_changed = self.quarantine.receive(dangers, now);
+        self.review_later(now, has_changed);
     }
 
-    /// Has the evidence reviewed after it has changed.
+    /// Reviews the evidence after it has changed: on requests that come again now, on
+    /// parts of prompts once all instances have reported.
     fn review_later(&mut self, now: Instant, has_changed: bool) {
         if has_changed {
             self.has_changes = true;
             self.quarantine.schedule_review(now);
+            let found = self.quarantine.review_repeats(now);
+            self.report_quarantined(found);
+        }
+    }
+
+    fn report_quarantined(&mut self, found: Vec<Cause>) {
+        for cause in found {
+            self.has_changes = true;
+            self.actions.push(Action::ReportQuarantine(cause));
         }
     }
 
     /// Quarantines what the evidence shows as a cause of crashes, and refuses the
     /// requests that wait and are in quarantine.
     pub(super) fn review_quarantine(&mut self, now: Instant) {
-        for parts in self.quarantine.review(now) {
-            self.has_changes = true;
-            self.actions.push(Action::ReportQuarantine(parts));
-        }
+        let found = self.quarantine.review_parts(now);
+        self.report_quarantined(found);
         let blocked = |w: &Waiting| {
-            let until = self.quarantine.blocked_until(&w.call.shared_parts, now)?;
+            let until = self.quarantine.blocked_until(&w.call, now)?;
             Some((w.call.id, until))
         };
         let blocked: Vec<_> = self.backlog.iter().filter_map(blocked).collect();
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -123,9 +123,8 @@
         /// The time after which its caller may retry.
         retry_after: Duration,
     },
-    /// Report that prompts with all of these parts are refused from now on, as they
-    /// crash upstreams.
-    ReportQuarantine(Vec<id::Part>),
+    /// Report that what is named is refused from now on, as it crashes upstreams.
+    ReportQuarantine(gossip::Cause),
     /// Publish what is now known of the shared store.
     UpdateWatermark(Watermark),
     /// Send this instance's state to peers.
@@ -278,7 +277,7 @@
     }
 
     fn arrived(&mut self, now: Instant, call: Call) {
-        if let Some(until) = self.quarantine.blocked_until(&call.shared_parts, now) {
+        if let Some(until) = self.quarantine.blocked_until(&call, now) {
             let retry_after = retry_after(call.id, until, now);
             self.push_refusal(call.id, Reason::Quarantined, retry_after);
             return;
@@ -309,7 +308,7 @@
     fn enqueue(&mut self, now: Instant, id: id::Request) {
         let Some(held) = self.held.get_mut(&id) else { return };
         held.upstream = None;
-        if let Some(until) = self.quarantine.blocked_until(&held.call.shared_parts, now) {
+        if let Some(until) = self.quarantine.blocked_until(&held.call, now) {
             self.refuse_until(now, id, until, Reason::Quarantined);
             return;
         }
@@ -345,8 +344,10 @@
                 held.excluded.push(upstream);
             }
         }
-        if matches!(how, Ended::Whole { .. }) {
-            self.record_answer(now, id);
+        match how {
+            Ended::Whole { .. } => self.record_answer(now, id),
+            Ended::Failed => self.record_failure(now, id),
+            _ => {}
         }
         match how {
             Ended::Whole { .. } | Ended::Cut | Ended::TimedOut | Ended::Abandoned => {
@@ -382,7 +383,7 @@
         let instances = self.instances();
         let visibility = self.visibility();
         let Some(held) = self.held.get(&id) else { return false };
-        let is_blocked = self.quarantine.blocked_until(&held.call.shared_parts, now).is_some();
+        let is_blocked = self.quarantine.blocked_until(&held.call, now).is_some();
         let is_allowed =
             !is_blocked && held.call.repeat.may_run_again() && held.sent < held.call.max_attempts;
         let mut excluded = held.excluded.clone();
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -86,7 +86,7 @@
                 self.quota.record_peers_admitted(team, change, now);
             }
         }
-        for (service, total) in &gossip.prompts.answers {
+        for (service, total) in &gossip.dangers.answers {
             let before = before.and_then(|before| before.answers.get(service));
             if let Some(before) = before {
                 self.quarantine.count_answers(service, total.saturating_sub(*before));
@@ -102,7 +102,7 @@
             is_silent: false,
             leaving: gossip.leaving,
             admitted: gossip.admitted.into_iter().collect(),
-            answers: gossip.prompts.answers.iter().cloned().collect(),
+            answers: gossip.dangers.answers.iter().cloned().collect(),
         };
         let from = gossip.from;
         self.peers.insert(from.clone(), peer);
@@ -117,7 +117,7 @@
             self.upstream_leaving(leaving);
         }
         self.receive_limits(now, &gossip.limits, Some((&from, gossip.incarnation)));
-        self.receive_prompts(now, *gossip.prompts);
+        self.receive_dangers(now, *gossip.dangers);
         self.update_watermark(&gossip.watermark);
         self.dispatch_waiting(now);
     }
@@ -156,7 +156,7 @@
             self.upstream_leaving(leaving);
         }
         self.receive_limits(now, &gossip.limits, None);
-        self.receive_prompts(now, *gossip.prompts);
+        self.receive_dangers(now, *gossip.dangers);
         self.update_watermark(&gossip.watermark);
     }
 
@@ -330,7 +330,7 @@
             digest: (audience == Audience::OtherZones).then(|| self.digest()),
             leaving_upstreams: self.fleet.leaving().cloned().collect(),
             limits: self.fleet.limits(now),
-            prompts: Box::new(self.quarantine.message(now)),
+            dangers: Box::new(self.quarantine.message(now)),
             watermark: self.watermark,
         };
         self.actions.push(Action::SendGossip { audience, gossip });
--- a/crates/core/tests/entry/foreign.rs
+++ b/crates/core/tests/entry/foreign.rs
@@ -8,7 +8,8 @@
 use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::call::{Call, Ended};
 use rosemarypond_core::entry::gossip::{
-    self, Answered, Crash, Digest, Gossip, Leaving, Load, Prompts, Quarantined,
+    self, Answered, Cause, Crash, Dangers, Digest, Gossip, Leaving, Load, Lost, Quarantined,
+    Suspect,
 };
 use rosemarypond_core::entry::pace::Pace;
 use rosemarypond_core::entry::plan::{Limit, Limits, Plan, Team};
@@ -87,24 +88,36 @@
     number().prop_map(Duration::from_millis)
 }
 
-fn prompts() -> impl Strategy<Value = Prompts> {
-    let crash = (0..3u32, number(), age(), prop::collection::vec(parts(), 0..3), any::<bool>());
-    let crash = crash.prop_map(|(upstream, incarnation, age, prompts, is_refuted)| Crash {
+fn dangers() -> impl Strategy<Value = Dangers> {
+    let lost = (0..4u64, age(), parts()).prop_map(|(request, ran, parts)| Lost {
+        fingerprint: id::Fingerprint(request),
+        ran,
+        parts,
+    });
+    let crash = (0..3u32, number(), age(), prop::collection::vec(lost, 0..3), any::<bool>());
+    let crash = crash.prop_map(|(upstream, incarnation, age, requests, is_refuted)| Crash {
         upstream: name(&format!("e{upstream}")),
         incarnation,
         service: name("models"),
         age,
-        prompts,
+        requests,
         is_refuted,
     });
-    let answered =
-        ((0..4u64), age()).prop_map(|(part, age)| Answered { part: id::Part(part), age });
-    let quarantined = (parts(), age(), proptest::option::of(age()))
-        .prop_map(|(parts, age, lifted_age)| Quarantined { parts, age, lifted_age });
+    let suspect = prop_oneof![
+        (0..4u64).prop_map(|part| Suspect::Part(id::Part(part))),
+        (0..4u64).prop_map(|request| Suspect::Request(id::Fingerprint(request))),
+    ];
+    let answered = (suspect, age()).prop_map(|(suspect, age)| Answered { suspect, age });
+    let cause = prop_oneof![
+        parts().prop_map(Cause::Parts),
+        (0..4u64).prop_map(|request| Cause::Request(id::Fingerprint(request))),
+    ];
+    let quarantined = (cause, age(), proptest::option::of(age()))
+        .prop_map(|(cause, age, lifted_age)| Quarantined { cause, age, lifted_age });
     let crashes = prop::collection::vec(crash, 0..4);
     let answered = prop::collection::vec(answered, 0..4);
     (crashes, answered, prop::collection::vec(quarantined, 0..3), number()).prop_map(
-        |(crashes, answered, quarantined, total)| Prompts {
+        |(crashes, answered, quarantined, total)| Dangers {
             crashes,
             answered,
             quarantined,
@@ -127,9 +140,9 @@
 fn gossip() -> impl Strategy<Value = Gossip> {
     let who = (0..3u32, 0..3u32, number(), number(), number(), any::<bool>());
     let what =
-        (prop::collection::vec(load(), 0..4), number(), digest(), watermark(), prompts(), limit());
+        (prop::collection::vec(load(), 0..4), number(), digest(), watermark(), dangers(), limit());
     (who, what).prop_map(|((from, zone, incarnation, age, sequence, leaving), what)| {
-        let (loads, total, digest, watermark, prompts, limit) = what;
+        let (loads, total, digest, watermark, dangers, limit) = what;
         Gossip {
             from: name(&format!("b{from}")),
             incarnation: id::Incarnation(incarnation),
@@ -142,7 +155,7 @@
             digest,
             leaving_upstreams: vec![Leaving { upstream: name("e9"), incarnation }],
             limits: vec![limit],
-            prompts: Box::new(prompts),
+            dangers: Box::new(dangers),
             watermark,
         }
     })
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod quarantine;
 mod quota;
 mod random;
+mod repeats;
 mod site;
 mod watermark;
 mod zones;
--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -7,7 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rosemarypond_core::entry::call::{Call, Ended, Repeat};
-use rosemarypond_core::entry::gossip::Gossip;
+use rosemarypond_core::entry::gossip::{Cause, Gossip};
 use rosemarypond_core::entry::quota::Counting;
 use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler};
 use rosemarypond_core::entry::upstream::{Location, Registration};
@@ -112,7 +112,7 @@
     pub loss: f64,
     pub crashes: Vec<Instant>,
     pub arrivals: Vec<Arrival>,
-    pub quarantined: Vec<Vec<id::Part>>,
+    pub quarantined: Vec<Cause>,
     /// The limit that each engine names, if any.
     pub limits: BTreeMap<usize, RequestRate>,
     /// The fraction of the requests that engines reject as not run.
@@ -215,23 +215,45 @@
         self.due.insert((self.now + after, self.order), (to, due));
     }
 
-    /// Sends a request to an instance; connections are spread unevenly.
-    pub fn request(&mut self, kind: &'static str, parts: &[u64]) {
+    /// An instance; connections are spread unevenly.
+    fn any_instance(&mut self) -> usize {
         let spread = self.chance();
         let index = (spread * spread * self.size.instances as f64) as usize;
-        self.request_to(index.min(self.size.instances - 1), kind, parts);
+        index.min(self.size.instances - 1)
+    }
+
+    /// Sends a request that comes once to an instance.
+    pub fn request(&mut self, kind: &'static str, parts: &[u64]) {
+        let index = self.any_instance();
+        self.request_to(index, kind, parts);
+    }
+
+    /// Sends a request that comes again to an instance.
+    pub fn repeat(&mut self, kind: &'static str, parts: &[u64], fingerprint: u64) {
+        let index = self.any_instance();
+        self.order += 1;
+        let call = self.call(parts);
+        self.arrive(index, kind, Call { fingerprint: id::Fingerprint(fingerprint), ..call });
     }
 
     /// Sends a request to this instance.
     pub fn request_to(&mut self, index: usize, kind: &'static str, parts: &[u64]) {
         self.order += 1;
+        let call = self.call(parts);
+        self.arrive(index, kind, call);
+    }
+
+    fn call(&self, parts: &[u64]) -> Call {
         let site = Site { now: self.now, ..Site::new() };
-        let call = Call {
+        Call {
             repeat: Repeat::Resumable,
             max_attempts: 3,
             shared_parts: parts.iter().map(|part| id::Part(*part)).collect(),
             ..site.call(self.order)
-        };
+        }
+    }
+
+    fn arrive(&mut self, index: usize, kind: &'static str, call: Call) {
         self.tallies.entry(kind).or_default().sent += 1;
         self.waiting.insert((index, call.id), Waiting { kind, attempts: 0 });
         self.handle(index, Event::Arrived(call));
@@ -312,7 +334,7 @@
             match action {
                 Action::Send { request, upstream, .. } => self.send(index, request, &upstream),
                 Action::SendGossip { audience, gossip } => self.gossip(index, audience, &gossip),
-                Action::ReportQuarantine(parts) => self.quarantined.push(parts),
+                Action::ReportQuarantine(cause) => self.quarantined.push(cause),
                 Action::Refuse { .. } | Action::UpdateWatermark(_) => {}
             }
         }
--- a/crates/core/tests/entry/quarantine.rs
+++ b/crates/core/tests/entry/quarantine.rs
@@ -5,7 +5,7 @@
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
-use rosemarypond_core::id;
+use rosemarypond_core::entry::gossip::Cause;
 
 use crate::network::{LARGE, MEDIUM, Network, SMALL, STEP, Size, Tally};
 use crate::site::{Site, cases, ms};
@@ -247,7 +247,7 @@
             }
         });
         assert!(network.crashes.len() > size.engines * 2);
-        assert_eq!(network.quarantined, Vec::<Vec<id::Part>>::new(), "seed {seed}");
+        assert_eq!(network.quarantined, Vec::<Cause>::new(), "seed {seed}");
     }
 }
 
@@ -266,7 +266,7 @@
                 trouble(n, engine);
             }
         });
-        assert_eq!(network.quarantined, Vec::<Vec<id::Part>>::new(), "seed {seed}");
+        assert_eq!(network.quarantined, Vec::<Cause>::new(), "seed {seed}");
     }
 }
 
--- a/crates/core/tests/entry/site.rs
+++ b/crates/core/tests/entry/site.rs
@@ -138,7 +138,7 @@
             digest: None,
             leaving_upstreams: vec![],
             limits: vec![],
-            prompts: Box::default(),
+            dangers: Box::default(),
             watermark: Watermark::default(),
         }
     }
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -9,7 +9,8 @@
 use bytes::BytesMut;
 use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::gossip::{
-    Answered, Crash, Digest, Gossip, Leaving, Limit, Load, Prompts, Quarantined,
+    Answered, Cause, Crash, Dangers, Digest, Gossip, Leaving, Limit, Load, Lost, Quarantined,
+    Suspect,
 };
 use rosemarypond_core::entry::pace::Pace;
 use rosemarypond_core::entry::scheduler::{Audience, Event};
@@ -122,7 +123,7 @@
         silent: digest.silent,
         admitted: encode_admitted(digest.admitted),
     };
-    let prompts = *gossip.prompts;
+    let dangers = *gossip.dangers;
     let answers =
         |(service, total): (id::Service, u64)| wire::Answers { service: service.into(), total };
     wire::Gossip {
@@ -146,10 +147,10 @@
             .map(|l| wire::Leaving { upstream: l.upstream.into(), incarnation: l.incarnation })
             .collect(),
         limits: gossip.limits.into_iter().map(encode_limit).collect(),
-        crashes: prompts.crashes.into_iter().map(encode_crash).collect(),
-        answered: prompts.answered.into_iter().map(encode_answered).collect(),
-        quarantined: prompts.quarantined.into_iter().map(encode_quarantined).collect(),
-        answers: prompts.answers.into_iter().map(answers).collect(),
+        crashes: dangers.crashes.into_iter().map(encode_crash).collect(),
+        answered: dangers.answered.into_iter().map(encode_answered).collect(),
+        quarantined: dangers.quarantined.into_iter().map(encode_quarantined).collect(),
+        answers: dangers.answers.into_iter().map(answers).collect(),
     }
 }
 
@@ -193,26 +194,37 @@
 }
 
 fn encode_crash(crash: Crash) -> wire::Crash {
-    let prompts = |prompts: Vec<Vec<id::Part>>| {
-        prompts.into_iter().map(|parts| wire::Prompt { parts: encode_parts(parts) }).collect()
+    let lost = |lost: Lost| wire::Lost {
+        parts: encode_parts(lost.parts),
+        fingerprint: lost.fingerprint.0,
+        ran_ms: millis(lost.ran),
     };
     wire::Crash {
         upstream: crash.upstream.into(),
         incarnation: crash.incarnation,
         service: crash.service.into(),
         age_ms: millis(crash.age),
-        prompts: prompts(crash.prompts),
+        requests: crash.requests.into_iter().map(lost).collect(),
         refuted: crash.is_refuted,
     }
 }
 
 fn encode_answered(answered: Answered) -> wire::Answered {
-    wire::Answered { part: answered.part.0, age_ms: millis(answered.age) }
+    let suspect = match answered.suspect {
+        Suspect::Part(part) => wire::answered::Suspect::Part(part.0),
+        Suspect::Request(request) => wire::answered::Suspect::Fingerprint(request.0),
+    };
+    wire::Answered { suspect: Some(suspect), age_ms: millis(answered.age) }
 }
 
 fn encode_quarantined(quarantined: Quarantined) -> wire::Quarantined {
+    let (parts, fingerprint) = match quarantined.cause {
+        Cause::Parts(parts) => (encode_parts(parts), None),
+        Cause::Request(request) => (vec![], Some(request.0)),
+    };
     wire::Quarantined {
-        parts: encode_parts(quarantined.parts),
+        parts,
+        fingerprint,
         age_ms: millis(quarantined.age),
         lifted_age_ms: quarantined.lifted_age.map(millis),
     }
@@ -223,39 +235,49 @@
 }
 
 fn decode_crash(crash: wire::Crash) -> Option<Crash> {
-    let prompts = |prompts: Vec<wire::Prompt>| {
-        prompts.into_iter().map(|prompt| decode_parts(prompt.parts)).collect()
+    let lost = |lost: wire::Lost| Lost {
+        fingerprint: id::Fingerprint(lost.fingerprint),
+        ran: Duration::from_millis(lost.ran_ms),
+        parts: decode_parts(lost.parts),
     };
     Some(Crash {
         upstream: crash.upstream.parse().ok()?,
         incarnation: crash.incarnation,
         service: crash.service.parse().ok()?,
         age: Duration::from_millis(crash.age_ms),
-        prompts: prompts(crash.prompts),
+        requests: crash.requests.into_iter().map(lost).collect(),
         is_refuted: crash.refuted,
     })
 }
 
-fn decode_prompts(message: &mut wire::Gossip) -> Prompts {
-    let answered = |answered: wire::Answered| Answered {
-        part: id::Part(answered.part),
-        age: Duration::from_millis(answered.age_ms),
+fn decode_answered(answered: wire::Answered) -> Option<Answered> {
+    let suspect = match answered.suspect? {
+        wire::answered::Suspect::Part(part) => Suspect::Part(id::Part(part)),
+        wire::answered::Suspect::Fingerprint(request) => Suspect::Request(id::Fingerprint(request)),
     };
-    let quarantined = |quarantined: wire::Quarantined| Quarantined {
-        parts: decode_parts(quarantined.parts),
+    Some(Answered { suspect, age: Duration::from_millis(answered.age_ms) })
+}
+
+fn decode_quarantined(quarantined: wire::Quarantined) -> Quarantined {
+    let parts = Cause::Parts(decode_parts(quarantined.parts));
+    let request = quarantined.fingerprint.map(|request| Cause::Request(id::Fingerprint(request)));
+    Quarantined {
+        cause: request.unwrap_or(parts),
         age: Duration::from_millis(quarantined.age_ms),
         lifted_age: quarantined.lifted_age_ms.map(Duration::from_millis),
-    };
+    }
+}
+
+fn decode_dangers(message: &mut wire::Gossip) -> Dangers {
     let answers = |answers: wire::Answers| Some((answers.service.parse().ok()?, answers.total));
-    let (crashes, answers_by_service) =
-        (std::mem::take(&mut message.crashes), std::mem::take(&mut message.answers));
-    Prompts {
+    let (crashes, answered) =
+        (std::mem::take(&mut message.crashes), std::mem::take(&mut message.answered));
+    let (quarantined, answers_by_service) =
+        (std::mem::take(&mut message.quarantined), std::mem::take(&mut message.answers));
+    Dangers {
         crashes: crashes.into_iter().filter_map(decode_crash).collect(),
-        answered: std::mem::take(&mut message.answered).into_iter().map(answered).collect(),
-        quarantined: std::mem::take(&mut message.quarantined)
-            .into_iter()
-            .map(quarantined)
-            .collect(),
+        answered: answered.into_iter().filter_map(decode_answered).collect(),
+        quarantined: quarantined.into_iter().map(decode_quarantined).collect(),
         answers: answers_by_service.into_iter().filter_map(answers).collect(),
     }
 }
@@ -284,7 +306,7 @@
         silent: digest.silent.min(digest.instances),
         admitted: decode_admitted(digest.admitted),
     };
-    let prompts = Box::new(decode_prompts(&mut message));
+    let dangers = Box::new(decode_dangers(&mut message));
     Some(Gossip {
         from: message.from.parse().ok()?,
         incarnation: id::Incarnation(message.incarnation),
@@ -297,7 +319,7 @@
         digest: message.digest.map(digest),
         leaving_upstreams: message.leaving_upstreams.into_iter().filter_map(leaving).collect(),
         limits: message.limits.into_iter().filter_map(decode_limit).collect(),
-        prompts,
+        dangers,
         watermark: Watermark {
             era: Era(message.era),
             plan: Version(message.plan),
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use rosemarypond_core::entry::call::{Call, Ended, Reason};
-use rosemarypond_core::entry::gossip::Gossip;
+use rosemarypond_core::entry::gossip::{Cause, Gossip};
 use rosemarypond_core::entry::node::Node;
 use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler};
 use rosemarypond_core::entry::upstream::Registration;
@@ -125,11 +125,15 @@
             Action::Refuse { request, reason, retry_after } => {
                 self.send_directive(request, Directive::Refuse { reason, retry_after });
             }
-            Action::ReportQuarantine(parts) => {
+            Action::ReportQuarantine(Cause::Parts(parts)) => {
                 let parts: Vec<_> = parts.iter().map(|part| part.to_string()).collect();
                 warn!(self.0.log, "prompts are quarantined, as they crash upstreams";
                     "parts" => parts.join(","));
             }
+            Action::ReportQuarantine(Cause::Request(fingerprint)) => {
+                warn!(self.0.log, "a request is quarantined, as it crashes upstreams";
+                    "fingerprint" => %fingerprint);
+            }
             Action::UpdateWatermark(watermark) => drop(self.0.watermark.send_replace(watermark)),
             // The receiver lives as long as the thread.
             Action::SendGossip { audience, gossip } => {
