--- a/crates/core/benches/scheduler.rs
+++ b/crates/core/benches/scheduler.rs
@@ -152,6 +152,7 @@
         zone: name("z1".into()),
         slots: SLOTS,
         incarnation: 1,
+        release: "v1".parse().ok(),
         leaving: false,
     }
 }
--- a/crates/core/src/entry/upstream.rs
+++ b/crates/core/src/entry/upstream.rs
@@ -75,6 +75,8 @@
     pub slots: u32,
     /// The incarnation of the upstream: another value means another process.
     pub incarnation: u64,
+    /// The version of its software; none if it is not known.
+    pub release: Option<id::Release>,
     /// Whether it takes no new work.
     pub leaving: bool,
 }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -107,6 +107,10 @@
     /// An engine or plain service that requests are sent to.
     Upstream
 );
+text_id!(
+    /// A version of the software of upstreams.
+    Release
+);
 text_id!(
     /// A group of upstreams that can run the same requests.
     Service
--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -169,6 +169,7 @@
             zone: self.zone(index),
             slots: SLOTS,
             incarnation: start + 1,
+            release: "v1".parse().ok(),
             leaving: false,
         }
     }
--- a/crates/core/tests/entry/site.rs
+++ b/crates/core/tests/entry/site.rs
@@ -54,6 +54,7 @@
         zone: name("z1"),
         slots,
         incarnation: 1,
+        release: "v1".parse().ok(),
         leaving: false,
     }
 }
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -30,6 +30,8 @@
     pub shared_parts: Vec<id::Part>,
     /// The id of the event after which a resumed stream continues.
     pub resume_after: Option<String>,
+    /// The identifier of the request that began the stream that is resumed.
+    pub resumes: Option<String>,
 }
 
 /// What the head of a request to an upstream is built from, besides the caller's
