Resume streams only at the software version that began them

Cause: no part of the code knew the engines' versions. A broken stream was resumed at any engine, and a caller's resumption was placed like a new request, also by instances that had never heard of the stream. The class of fault: state that a decision needs (where the stream began) was not passed on to those who decide.

A request's origin now says which upstreams may answer it. Instances tell each other, in messages that they send anyway, which version began a stream, and ask about one that they do not know; what nobody knows within 0.4 s is refused as not run, unless the service had a single version for a minute. Where no engine of the version takes work, the refusal comes at once.

--- a/crates/core/benches/scheduler.rs
+++ b/crates/core/benches/scheduler.rs
@@ -8,7 +8,7 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::budget::Allowance;
-use rosemarypond_core::entry::call::{Call, Ended, Repeat};
+use rosemarypond_core::entry::call::{Call, Ended, Origin, Repeat};
 use rosemarypond_core::entry::gossip::{Gossip, Load};
 use rosemarypond_core::entry::pace::Pace;
 use rosemarypond_core::entry::plan::{Limit, Limits, Plan, Team};
@@ -93,6 +93,8 @@
             leaving_upstreams: vec![],
             limits: vec![],
             dangers: Box::default(),
+            begun: vec![],
+            asked: vec![],
             watermark: Watermark::default(),
         };
         self.handle(Event::Received(gossip));
@@ -115,6 +117,8 @@
             prompt: Tokens(1_000),
             answer: Tokens(100),
             cost: Tokens(1_100),
+            stream: None,
+            origin: Origin::Fresh,
             fingerprint: id::Fingerprint(self.requests),
             shared_parts: [].into(),
         }
--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -30,6 +30,38 @@
     }
 }
 
+/// Which upstreams may answer a request, by what its caller has already received.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// Any: the caller has received nothing.
+    Fresh,
+    /// Those of the software version that began the stream.
+    Release(id::Release),
+    /// None: it is not known which version began the stream.
+    Unknown,
+}
+
+impl Origin {
+    /// Whether an upstream of a version may answer the request.
+    ///
+    /// ```
+    /// use rosemarypond_core::entry::call::Origin;
+    /// let v1: rosemarypond_core::id::Release = "v1".parse()?;
+    /// assert!(Origin::Fresh.allows(None));
+    /// assert!(Origin::Release(v1.clone()).allows(Some(&v1)));
+    /// assert!(!Origin::Release(v1.clone()).allows(None));
+    /// assert!(!Origin::Unknown.allows(Some(&v1)));
+    /// # Ok::<(), rosemarypond_core::id::Error>(())
+    /// ```
+    pub fn allows(&self, release: Option<&id::Release>) -> bool {
+        match self {
+            Origin::Fresh => true,
+            Origin::Release(origin) => release == Some(origin),
+            Origin::Unknown => false,
+        }
+    }
+}
+
 /// What the scheduler needs to know about a request.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -61,6 +93,10 @@
     pub answer: Tokens,
     /// The tokens that it counts against its team's quota.
     pub cost: Tokens,
+    /// The stream that it begins or resumes, if that can be resumed.
+    pub stream: Option<id::Stream>,
+    /// Which upstreams may answer it.
+    pub origin: Origin,
     /// The same for a request that comes again.
     pub fingerprint: id::Fingerprint,
     /// The parts of its prompt that other requests may share.
@@ -120,8 +156,10 @@
     NoPlan,
     /// The instance's memory for requests is used up.
     Memory,
-    /// Its prompt crashes upstreams.
+    /// It, or a part of its prompt, crashes upstreams.
     Quarantined,
+    /// It resumes a stream, and nobody knows which software version began it.
+    UnknownStream,
 }
 
 impl Reason {
@@ -141,6 +179,7 @@
             Reason::NoPlan => "no-plan",
             Reason::Memory => "memory",
             Reason::Quarantined => "quarantined",
+            Reason::UnknownStream => "unknown-stream",
         }
     }
 }
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -108,6 +108,7 @@
             u.registration.service == call.service
                 && u.is_open(now)
                 && !excluded.contains(&u.registration.id)
+                && call.origin.allows(u.registration.release.as_ref())
         };
         let is_in_own_zone = |u: &&Upstream| u.registration.zone == self.location.zone;
         let only_own_zone = !visibility.is_full_mesh
@@ -297,6 +298,15 @@
         self.upstreams.values().any(|u| u.registration.service == *service && u.is_open(now))
     }
 
+    /// Whether an upstream of a service may answer a request now or later.
+    pub fn has_allowed(&self, call: &Call) -> bool {
+        let is_allowed = |u: &Upstream| {
+            let Registration { service, release, .. } = &u.registration;
+            *service == call.service && u.takes_work() && call.origin.allows(release.as_ref())
+        };
+        self.upstreams.values().any(is_allowed)
+    }
+
     /// When the first upstream of a service opens again, if all of them are
     /// paused; none if one is open, or none will open again.
     pub fn opens_at(&self, service: &id::Service, now: Instant) -> Option<Instant> {
--- a/crates/core/src/entry/gossip.rs
+++ b/crates/core/src/entry/gossip.rs
@@ -123,6 +123,15 @@
     pub lifted_age: Option<Duration>,
 }
 
+/// Streams that upstreams of one software version began.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Begun {
+    /// The version.
+    pub release: id::Release,
+    /// The streams.
+    pub streams: Vec<id::Stream>,
+}
+
 /// What the sender knows of requests that crash upstreams.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Dangers {
@@ -166,6 +175,10 @@
     pub limits: Vec<Limit>,
     /// What it knows of requests that crash upstreams.
     pub dangers: Box<Dangers>,
+    /// The streams that have begun lately, and those that were asked about.
+    pub begun: Vec<Begun>,
+    /// The streams that the sender asks about.
+    pub asked: Vec<id::Stream>,
     /// What it knows of the shared store.
     pub watermark: Watermark,
 }
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod peers;
 mod refusals;
+mod resumptions;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -11,12 +12,13 @@
 
 use super::backlog::{Backlog, Waiting};
 use super::budget::{Allowance, Budget};
-use super::call::{Call, Ended, Reason};
+use super::call::{Call, Ended, Origin, Reason};
 use super::fleet::{Choice, Fleet};
 use super::gossip::{self, Gossip};
 use super::plan::Plan;
 use super::quarantine::Quarantine;
 use super::quota::{Counting, Quota};
+use super::streams::Streams;
 use super::upstream::{Location, Registration};
 use super::watermark::Watermark;
 use super::zones::{Population, Zones};
@@ -175,6 +177,7 @@
     quota: Quota,
     budget: Budget,
     quarantine: Quarantine,
+    streams: Streams,
     held: HashMap<id::Request, Held>,
     peers: BTreeMap<id::Instance, Peer>,
     /// The instances of other availability zones, where loads are sent only within
@@ -183,6 +186,8 @@
     /// All instances as of the last change or tick.
     population: Population,
     watermark: Watermark,
+    /// When the directory of upstreams was last known to be the newest.
+    directory_read: Option<Instant>,
     started: Option<Instant>,
     sequence: u64,
     last_gossip: Option<Instant>,
@@ -202,6 +207,7 @@
             budget: Budget::new(options.allowance),
             quota: Quota::new(options.counting),
             quarantine: Quarantine::default(),
+            streams: Streams::default(),
             options,
             plan: Arc::default(),
             backlog: Backlog::default(),
@@ -210,6 +216,7 @@
             zones: Zones::default(),
             population: Population { instances: 1, silent: 0, age: Duration::ZERO },
             watermark: Watermark::default(),
+            directory_read: None,
             started: None,
             sequence: 0,
             last_gossip: None,
@@ -236,6 +243,7 @@
                 self.quota.set_counting(counting);
             }
             Event::Registered(registration) => {
+                self.streams.record_release(&registration, now);
                 self.fleet.register(registration);
                 self.dispatch_waiting(now);
             }
@@ -249,7 +257,7 @@
             }
             Event::Paused(upstream, time) => self.fleet.pause_for(&upstream, time, now),
             Event::PeerRegistered(peer, zone) => self.peer_registered(now, peer, zone),
-            Event::StoreRead(watermark) => self.update_watermark(&watermark),
+            Event::StoreRead(watermark) => self.update_watermark(now, &watermark),
             Event::Received(gossip) => self.received(now, gossip),
             Event::Stop => self.stop(now),
             Event::Tick => self.tick(now),
@@ -276,7 +284,7 @@
         (self.held.len(), self.backlog.len())
     }
 
-    fn arrived(&mut self, now: Instant, call: Call) {
+    fn arrived(&mut self, now: Instant, mut call: Call) {
         if let Some(until) = self.quarantine.blocked_until(&call, now) {
             let retry_after = retry_after(call.id, until, now);
             self.push_refusal(call.id, Reason::Quarantined, retry_after);
@@ -291,6 +299,7 @@
             }
         }
         self.budget.record_request(&call.service, now);
+        self.find_origin(now, &mut call);
         let id = call.id;
         let held = Held {
             call,
@@ -312,6 +321,10 @@
             self.refuse_until(now, id, until, Reason::Quarantined);
             return;
         }
+        if matches!(held.call.origin, Origin::Release(_)) && !self.fleet.has_allowed(&held.call) {
+            self.refuse(now, id, Reason::NoUpstream);
+            return;
+        }
         let waiting = Waiting { call: held.call.clone(), excluded: held.excluded.clone() };
         self.backlog.push(waiting);
         self.dispatch_waiting(now);
@@ -323,6 +336,7 @@
 
     fn first_byte(&mut self, now: Instant, id: id::Request) {
         self.record_alive(now, id);
+        self.record_origin(now, id);
         let Some(upstream) = self.held.get(&id).and_then(|h| h.upstream.as_ref()) else { return };
         self.fleet.record_first_byte(upstream, id, now);
         self.fleet.record_outcome(upstream, false, now);
@@ -478,6 +492,8 @@
         self.expire_peers(now);
         self.quarantine.expire(now);
         self.review_quarantine(now);
+        self.streams.expire(self.fleet.iter(), now);
+        self.resolve_origins(now);
         self.update_turns(now);
         self.expire(now);
         self.dispatch_waiting(now);
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -118,7 +118,8 @@
         }
         self.receive_limits(now, &gossip.limits, Some((&from, gossip.incarnation)));
         self.receive_dangers(now, *gossip.dangers);
-        self.update_watermark(&gossip.watermark);
+        self.receive_streams(now, gossip.begun, &gossip.asked);
+        self.update_watermark(now, &gossip.watermark);
         self.dispatch_waiting(now);
     }
 
@@ -157,7 +158,7 @@
         }
         self.receive_limits(now, &gossip.limits, None);
         self.receive_dangers(now, *gossip.dangers);
-        self.update_watermark(&gossip.watermark);
+        self.update_watermark(now, &gossip.watermark);
     }
 
     /// Adds a registered peer; it may be running although nothing was received
@@ -181,7 +182,12 @@
 
     /// Merges what this instance or a peer read in the store, and publishes the
     /// result; a newer version is sent to peers.
-    pub(super) fn update_watermark(&mut self, watermark: &Watermark) {
+    pub(super) fn update_watermark(&mut self, now: Instant, watermark: &Watermark) {
+        if (watermark.era, watermark.directory_at)
+            > (self.watermark.era, self.watermark.directory_at)
+        {
+            self.directory_read = Some(now);
+        }
         self.has_changes |= watermark.has_changed_since(&self.watermark);
         if self.watermark.merge(watermark) {
             self.actions.push(Action::UpdateWatermark(self.watermark));
@@ -318,6 +324,7 @@
     fn send_gossip(&mut self, now: Instant, audience: Audience, age: Duration) {
         self.sequence += 1;
         let has_loads = audience != Audience::OtherZones;
+        let (begun, asked) = if has_loads { self.streams.message(now) } else { (vec![], vec![]) };
         let gossip = Gossip {
             from: self.options.location.instance.clone(),
             incarnation: self.options.incarnation,
@@ -331,6 +338,8 @@
             leaving_upstreams: self.fleet.leaving().cloned().collect(),
             limits: self.fleet.limits(now),
             dangers: Box::new(self.quarantine.message(now)),
+            begun,
+            asked,
             watermark: self.watermark,
         };
         self.actions.push(Action::SendGossip { audience, gossip });
--- a/crates/core/src/entry/upstream.rs
+++ b/crates/core/src/entry/upstream.rs
@@ -151,7 +151,12 @@
     /// Whether it may get new requests.
     pub fn is_open(&self, now: Instant) -> bool {
         let paused = self.paused_until.is_some_and(|until| now < until);
-        !self.is_removed && !self.registration.leaving && !paused
+        self.takes_work() && !paused
+    }
+
+    /// Whether it takes new work, now or after a pause.
+    pub(super) fn takes_work(&self) -> bool {
+        !self.is_removed && !self.registration.leaving
     }
 
     /// Requests that run on it, as far as this instance knows.
@@ -265,7 +270,7 @@
 
     /// When its pause ends, unless it takes no new work after it either.
     pub(super) fn opens_at(&self) -> Option<Instant> {
-        self.paused_until.filter(|_| !self.is_removed && !self.registration.leaving)
+        self.paused_until.filter(|_| self.takes_work())
     }
 
     pub(super) fn pause(&mut self, now: Instant) {
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -169,6 +169,10 @@
     /// again, and different for others.
     Fingerprint
 );
+number_id!(
+    /// An event stream, over all requests of its caller that resume it.
+    Stream
+);
 number_id!(
     /// A part of a prompt, which requests may share.
     Part
--- a/crates/core/tests/entry/foreign.rs
+++ b/crates/core/tests/entry/foreign.rs
@@ -156,6 +156,8 @@
             leaving_upstreams: vec![Leaving { upstream: name("e9"), incarnation }],
             limits: vec![limit],
             dangers: Box::new(dangers),
+            begun: vec![],
+            asked: vec![],
             watermark,
         }
     })
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -9,6 +9,7 @@
 mod quota;
 mod random;
 mod repeats;
+mod resumptions;
 mod site;
 mod watermark;
 mod zones;
--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -6,7 +6,7 @@
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
-use rosemarypond_core::entry::call::{Call, Ended, Repeat};
+use rosemarypond_core::entry::call::{Call, Ended, Origin, Repeat};
 use rosemarypond_core::entry::gossip::{Cause, Gossip};
 use rosemarypond_core::entry::quota::Counting;
 use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler};
@@ -78,6 +78,7 @@
     pub at: Instant,
     pub engine: usize,
     pub is_deadly: bool,
+    pub stream: Option<id::Stream>,
 }
 
 /// How the requests of a kind ended.
@@ -92,6 +93,7 @@
 struct Waiting {
     kind: &'static str,
     attempts: u32,
+    stream: Option<id::Stream>,
 }
 
 enum Due {
@@ -169,7 +171,7 @@
             zone: self.zone(index),
             slots: SLOTS,
             incarnation: start + 1,
-            release: "v1".parse().ok(),
+            release: Some(Self::release_of(index)),
             leaving: false,
         }
     }
@@ -237,6 +239,33 @@
         self.arrive(index, kind, Call { fingerprint: id::Fingerprint(fingerprint), ..call });
     }
 
+    /// Sends a request to this instance that begins a stream, at one engine only.
+    pub fn begin_stream(&mut self, index: usize, kind: &'static str, stream: u64) {
+        self.order += 1;
+        let call = self.call(&[]);
+        let stream = Some(id::Stream(stream));
+        self.arrive(index, kind, Call { stream, max_attempts: 1, ..call });
+    }
+
+    /// Sends a request to this instance that resumes a stream.
+    pub fn resume_stream(&mut self, index: usize, kind: &'static str, stream: u64) {
+        self.order += 1;
+        let call = self.call(&[]);
+        let stream = Some(id::Stream(stream));
+        self.arrive(index, kind, Call { stream, origin: Origin::Unknown, ..call });
+    }
+
+    /// The engine at which a stream runs that an instance began.
+    pub fn engine_of(&self, stream: u64) -> Option<usize> {
+        let is_of_stream = |a: &&Arrival| a.stream == Some(id::Stream(stream));
+        self.arrivals.iter().rev().find(is_of_stream).map(|a| a.engine)
+    }
+
+    /// The version of an engine's software: that of every other one.
+    pub fn release_of(engine: usize) -> id::Release {
+        name(if engine.is_multiple_of(2) { "v1" } else { "v2" })
+    }
+
     /// Sends a request to this instance.
     pub fn request_to(&mut self, index: usize, kind: &'static str, parts: &[u64]) {
         self.order += 1;
@@ -256,7 +285,7 @@
 
     fn arrive(&mut self, index: usize, kind: &'static str, call: Call) {
         self.tallies.entry(kind).or_default().sent += 1;
-        self.waiting.insert((index, call.id), Waiting { kind, attempts: 0 });
+        self.waiting.insert((index, call.id), Waiting { kind, attempts: 0, stream: call.stream });
         self.handle(index, Event::Arrived(call));
     }
 
@@ -366,7 +395,8 @@
             let event = Event::Ended(request, Ended::NotSent);
             return self.push(DELAY, instance, Due::Event(Box::new(event), incarnation));
         };
-        self.arrivals.push(Arrival { at: self.now, engine, is_deadly });
+        let stream = self.waiting.get(&(instance, request)).and_then(|waiting| waiting.stream);
+        self.arrivals.push(Arrival { at: self.now, engine, is_deadly, stream });
         if self.rejected > 0.0 && self.chance() < self.rejected {
             let notice = self.notice(engine, self.now);
             self.push(DELAY, instance, Due::Event(Box::new(notice), incarnation));
--- /dev/null
+++ b/crates/core/tests/entry/resumptions.rs
@@ -0,0 +1,132 @@
+//! Streams that callers resume at other instances go on only at the software version
+//! that began them, and half or more of them go on.
+
+use std::time::Duration;
+
+use crate::network::{LARGE, MEDIUM, Network, SMALL, Size, Tally};
+use crate::site::{Site, cases, ms};
+
+/// How many streams begin and break off together.
+const STREAMS: u64 = 24;
+/// How often that happens.
+const ROUNDS: u64 = 6;
+/// The time from the beginning of the streams to their break.
+const BROKEN_AFTER: Duration = Duration::from_millis(450);
+/// The time from the break until callers resume them.
+const RESUMED_AFTER: Duration = Duration::from_millis(40);
+
+/// The time until the next streams begin.
+const ROUND_TIME: Duration = Duration::from_secs(2);
+
+/// What breaks the streams off.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// Their engines crash.
+    Engines,
+    /// The instances that pass them on are killed.
+    Instances,
+}
+
+/// An instance of the same zone as another, or of the next one.
+fn other_instance(size: Size, index: usize, is_own_zone: bool) -> usize {
+    let step = if is_own_zone { size.zones } else { 1 };
+    (index + step) % size.instances
+}
+
+fn begin(network: &mut Network, first: u64) {
+    for stream in first..first + STREAMS {
+        let index = (stream * 7) as usize % network.size.instances;
+        network.begin_stream(index, "fresh", stream);
+    }
+}
+
+fn break_off(network: &mut Network, first: u64, trouble: Trouble) {
+    match trouble {
+        Trouble::Engines => {
+            for stream in first..first + STREAMS / 4 {
+                if let Some(engine) = network.engine_of(stream) {
+                    network.crash(engine);
+                }
+            }
+        }
+        Trouble::Instances => network.restart(|index| index % 3 == 0),
+    }
+}
+
+/// Plays rounds of streams that begin, break off and are resumed; returns how many were
+/// resumed and went on.
+fn resume(network: &mut Network, trouble: Trouble, is_own_zone: bool) -> Tally {
+    let size = network.size;
+    for round in 0..ROUNDS {
+        let first = round * STREAMS;
+        begin(network, first);
+        network.play(BROKEN_AFTER, |_| {});
+        break_off(network, first, trouble);
+        network.play(RESUMED_AFTER, |_| {});
+        for stream in first..first + STREAMS {
+            let index = (stream * 7) as usize % size.instances;
+            network.resume_stream(other_instance(size, index, is_own_zone), "resumed", stream);
+        }
+        network.play(ROUND_TIME, |_| {});
+    }
+    network.tally("resumed")
+}
+
+fn check_releases(network: &Network) {
+    let mut releases = std::collections::BTreeMap::new();
+    for arrival in &network.arrivals {
+        let Some(stream) = arrival.stream else { continue };
+        let release = Network::release_of(arrival.engine);
+        let before = releases.entry(stream).or_insert_with(|| release.clone());
+        assert_eq!(*before, release, "{stream}");
+    }
+    assert!(releases.len() as u64 >= STREAMS * ROUNDS * 9 / 10);
+}
+
+fn in_own_zone(size: Size, seeds: u64, trouble: Trouble, loss: f64) {
+    for seed in 0..seeds {
+        let mut network = Network::new(size, seed);
+        network.loss = loss;
+        network.play(Duration::from_secs(1), |_| {});
+        let tally = resume(&mut network, trouble, true);
+        check_releases(&network);
+        assert!(tally.begun * 2 >= tally.sent, "seed {seed}: {tally:?}");
+    }
+}
+
+/// Beyond a full mesh the instances of other zones are not told: what they do not know,
+/// they refuse.
+fn in_other_zone(_site: Site) {
+    let mut network = Network::new(MEDIUM, 0);
+    network.play(Duration::from_secs(1), |_| {});
+    resume(&mut network, Trouble::Instances, false);
+    check_releases(&network);
+}
+
+/// All instances restart while streams run: nobody knows them any more.
+fn restart_of_all(_site: Site) {
+    let mut network = Network::new(SMALL, 0);
+    network.play(Duration::from_secs(1), |_| {});
+    begin(&mut network, 0);
+    network.play(BROKEN_AFTER, |_| {});
+    network.restart(|_| true);
+    network.play(ms(200), |_| {});
+    (0..STREAMS).for_each(|stream| network.resume_stream(0, "resumed", stream));
+    network.play(Duration::from_secs(3), |_| {});
+    assert_eq!(network.tally("resumed").begun, 0);
+}
+
+cases! {
+    streams_are_resumed_by_6_instances_when_engines_crash =>
+        |_| in_own_zone(SMALL, 3, Trouble::Engines, 0.0);
+    streams_are_resumed_by_6_instances_when_instances_are_killed =>
+        |_| in_own_zone(SMALL, 3, Trouble::Instances, 0.0);
+    streams_are_resumed_by_60_instances_when_instances_are_killed =>
+        |_| in_own_zone(MEDIUM, 1, Trouble::Instances, 0.0);
+    streams_are_resumed_by_195_instances_when_instances_are_killed =>
+        |_| in_own_zone(LARGE, 1, Trouble::Instances, 0.0);
+    streams_are_resumed_where_gossip_is_lost =>
+        |_| in_own_zone(SMALL, 3, Trouble::Instances, 0.3);
+    streams_of_another_zone_are_resumed_at_no_other_version => in_other_zone;
+    streams_that_nobody_knows_are_not_resumed => restart_of_all;
+}
--- a/crates/core/tests/entry/site.rs
+++ b/crates/core/tests/entry/site.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use rosemarypond_core::entry::budget::Allowance;
-use rosemarypond_core::entry::call::{Call, Ended, Reason, Repeat};
+use rosemarypond_core::entry::call::{Call, Ended, Origin, Reason, Repeat};
 use rosemarypond_core::entry::gossip::Gossip;
 use rosemarypond_core::entry::quota::Counting;
 use rosemarypond_core::entry::scheduler::{Action, Event, Options, Scheduler};
@@ -101,6 +101,8 @@
             prompt: Tokens(1_000),
             answer: Tokens(100),
             cost: Tokens(1_100),
+            stream: None,
+            origin: Origin::Fresh,
             fingerprint: id::Fingerprint(id),
             shared_parts: [].into(),
         }
@@ -140,6 +142,8 @@
             leaving_upstreams: vec![],
             limits: vec![],
             dangers: Box::default(),
+            begun: vec![],
+            asked: vec![],
             watermark: Watermark::default(),
         }
     }
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Response, http};
 use prometheus_client::metrics::gauge::Gauge;
 use rosemarypond_core::config::Version;
-use rosemarypond_core::entry::call::{Call, Reason};
+use rosemarypond_core::entry::call::{Call, Origin, Reason, Repeat};
 use rosemarypond_core::entry::gossip::Leaving;
 use rosemarypond_core::entry::plan::{Denial, Limits, Match, Plan, Team};
 use rosemarypond_core::entry::proof::Proof;
@@ -342,6 +342,8 @@
         let team = found.team.as_deref();
         let timeout =
             head.caller_timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
+        let is_resumable = route.repeat == Repeat::Resumable;
+        let is_resumption = is_resumable && head.resume_after.is_some();
         let default_cost = team.map_or(0, |t| t.default_cost);
         self.last_id.set(self.last_id.get() + 1);
         Some(Call {
@@ -359,12 +361,22 @@
             prompt: head.prompt,
             answer: head.answer,
             cost: head.cost.unwrap_or(Tokens(default_cost)),
+            stream: stream_of(head).filter(|_| is_resumable),
+            origin: if is_resumption { Origin::Unknown } else { Origin::Fresh },
             fingerprint,
             shared_parts: head.shared_parts.as_slice().into(),
         })
     }
 }
 
+/// The stream that a request begins, or that it resumes if it names the request that
+/// began it.
+fn stream_of(head: &Head) -> Option<id::Stream> {
+    let is_fresh = head.resume_after.is_none();
+    let begun = if is_fresh { Some(&head.request) } else { head.resumes.as_ref() };
+    begun.map(|request| id::Stream(stable_hash(request)))
+}
+
 /// What a request asks for and who sends it.
 fn fingerprint(
     parts: &http::request::Parts,
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -9,8 +9,8 @@
 use bytes::BytesMut;
 use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::gossip::{
-    Answered, Cause, Crash, Dangers, Digest, Gossip, Leaving, Limit, Load, Lost, Quarantined,
-    Suspect,
+    Answered, Begun, Cause, Crash, Dangers, Digest, Gossip, Leaving, Limit, Load, Lost,
+    Quarantined, Suspect,
 };
 use rosemarypond_core::entry::pace::Pace;
 use rosemarypond_core::entry::scheduler::{Audience, Event};
@@ -151,6 +151,8 @@
         answered: dangers.answered.into_iter().map(encode_answered).collect(),
         quarantined: dangers.quarantined.into_iter().map(encode_quarantined).collect(),
         answers: dangers.answers.into_iter().map(answers).collect(),
+        begun: gossip.begun.into_iter().map(encode_begun).collect(),
+        asked: encode_streams(gossip.asked),
     }
 }
 
@@ -189,6 +191,22 @@
     })
 }
 
+fn encode_streams(streams: Vec<id::Stream>) -> Vec<u64> {
+    streams.into_iter().map(|stream| stream.0).collect()
+}
+
+fn encode_begun(begun: Begun) -> wire::Begun {
+    wire::Begun { release: begun.release.into(), streams: encode_streams(begun.streams) }
+}
+
+fn decode_streams(streams: Vec<u64>) -> Vec<id::Stream> {
+    streams.into_iter().map(id::Stream).collect()
+}
+
+fn decode_begun(begun: wire::Begun) -> Option<Begun> {
+    Some(Begun { release: begun.release.parse().ok()?, streams: decode_streams(begun.streams) })
+}
+
 fn encode_parts(parts: Vec<id::Part>) -> Vec<u64> {
     parts.into_iter().map(|part| part.0).collect()
 }
@@ -320,6 +338,8 @@
         leaving_upstreams: message.leaving_upstreams.into_iter().filter_map(leaving).collect(),
         limits: message.limits.into_iter().filter_map(decode_limit).collect(),
         dangers,
+        begun: message.begun.into_iter().filter_map(decode_begun).collect(),
+        asked: decode_streams(message.asked),
         watermark: Watermark {
             era: Era(message.era),
             plan: Version(message.plan),
