Do not clear a request that was lost late

A connection that ends later than 0.3 s after the head of its answer speaks against no part of the prompt, and counted as an answer to the request as well: one that crashes its engines later would never be held back. It counts neither way now.

--- a/crates/core/src/entry/quarantine/mod.rs
+++ b/crates/core/src/entry/quarantine/mod.rs
@@ -103,9 +103,10 @@
         if is_suspicious(answering) {
             return self.add_crash(crash, now);
         }
+        // A request may crash upstreams later, its parts at the beginning only.
         let mut has_changed = false;
-        for request in &crash.requests {
-            has_changed |= self.record_answered(request.fingerprint, &request.parts, now);
+        for part in crash.requests.iter().flat_map(|request| &request.parts) {
+            has_changed |= self.evidence.add_answered(*part, now, &self.crashes);
         }
         has_changed
     }
