Report crashes that stand before those that were refuted

A message holds eight crashes. Many engines that reset connections and live on could keep a real crash out of it on a large site.

--- a/crates/core/src/entry/quarantine/mod.rs
+++ b/crates/core/src/entry/quarantine/mod.rs
@@ -317,6 +317,7 @@
             is_refuted: r.is_refuted,
         };
         let latest = || self.crashes.latest(NEWS_TIME, now);
+        let (refuted, standing): (Vec<_>, Vec<_>) = latest().partition(|r| r.is_refuted);
         let answered = |suspect, at| Answered { suspect, age: age(at) };
         let parts = self.evidence.answered(latest()).into_iter();
         let parts = parts.map(|(part, at)| answered(Suspect::Part(part), at));
@@ -330,7 +331,12 @@
         // Without a crash nobody needs the counts.
         let answers = self.answers.iter().filter(|_| self.crashes.newest().is_some());
         Dangers {
-            crashes: latest().take(MAX_CRASHES_PER_MESSAGE).map(crash).collect(),
+            crashes: standing
+                .into_iter()
+                .chain(refuted)
+                .take(MAX_CRASHES_PER_MESSAGE)
+                .map(crash)
+                .collect(),
             answered: parts
                 .take(MAX_ANSWERED_PER_MESSAGE)
                 .chain(requests.take(MAX_ANSWERED_PER_MESSAGE))
