Tell peers whenever a request is answered that a crash spoke against

An answer was told to peers only if it came within 2 s of a crash. A sound request that is lost with an engine now and then and answered between, each time at another instance, counted three crashes at those that had not answered it, and all of them refused it for 10 min. Answers are told for as long as the crash counts now, each for 2 s.

--- a/crates/core/src/entry/quarantine/mod.rs
+++ b/crates/core/src/entry/quarantine/mod.rs
@@ -321,7 +321,8 @@
         let answered = |suspect, at| Answered { suspect, age: age(at) };
         let parts = self.evidence.answered(latest()).into_iter();
         let parts = parts.map(|(part, at)| answered(Suspect::Part(part), at));
-        let requests = self.repeats.answered(latest()).into_iter();
+        let news_from = now.checked_sub(NEWS_TIME).unwrap_or(now);
+        let requests = self.repeats.answered(&self.crashes, news_from).into_iter();
         let requests = requests.map(|(request, at)| answered(Suspect::Request(request), at));
         let quarantined = |group: &Group| Quarantined {
             cause: group.cause.clone(),
--- a/crates/core/src/entry/quarantine/repeats.rs
+++ b/crates/core/src/entry/quarantine/repeats.rs
@@ -53,14 +53,19 @@
         self.answered.add(fingerprint, at, is_needed, with_request)
     }
 
-    /// The requests that `crashes` speak against, and answers since then for.
-    pub fn answered<'a>(
-        &self,
-        crashes: impl Iterator<Item = &'a Record>,
-    ) -> BTreeMap<id::Fingerprint, Instant> {
-        let requests = crashes.flat_map(|r| r.requests.iter().map(|q| (q.fingerprint, r.at)));
+    /// The requests that a crash spoke against and that were answered after it, since
+    /// `from`.
+    pub fn answered(&self, crashes: &Crashes, from: Instant) -> BTreeMap<id::Fingerprint, Instant> {
+        let requests =
+            crashes.iter().flat_map(|r| r.requests.iter().map(|q| (q.fingerprint, r.at)));
         let answered = requests.filter(|(request, at)| self.answered.is_after(*request, *at));
-        answered.filter_map(|(request, _)| Some((request, self.answered.last(request)?))).collect()
+        let answered = answered.filter_map(|(request, _)| Some((request, self.last(request)?)));
+        answered.filter(|(_, at)| *at >= from).collect()
+    }
+
+    /// When a request was last answered.
+    pub fn last(&self, fingerprint: id::Fingerprint) -> Option<Instant> {
+        self.answered.last(fingerprint)
     }
 
     /// The requests that more than one crash speaks against.
--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -247,6 +247,22 @@
         self.arrive(index, kind, Call { stream, max_attempts: 1, ..call });
     }
 
+    /// Sends a request to this instance that comes again, at one engine only, as a
+    /// stream of its own.
+    pub fn begin_repeat(
+        &mut self,
+        index: usize,
+        kind: &'static str,
+        fingerprint: u64,
+        stream: u64,
+    ) {
+        self.order += 1;
+        let fingerprint = id::Fingerprint(fingerprint);
+        let stream = Some(id::Stream(stream));
+        let call = Call { fingerprint, stream, max_attempts: 1, ..self.call(&[]) };
+        self.arrive(index, kind, call);
+    }
+
     /// Sends a request to this instance that resumes a stream.
     pub fn resume_stream(&mut self, index: usize, kind: &'static str, stream: u64) {
         self.order += 1;
--- a/crates/core/tests/entry/repeats.rs
+++ b/crates/core/tests/entry/repeats.rs
@@ -183,6 +183,27 @@
     }
 }
 
+/// A sound request is lost with its engine again and again, and answered between, each
+/// time at another instance: it is never held back, though no instance sees all of it.
+fn answered_between_crashes(_site: Site) {
+    let mut network = Network::new(SMALL, 1);
+    network.play(Duration::from_secs(1), |_| {});
+    for round in 0..6 {
+        let stream = 100 + round;
+        network.begin_repeat(round as usize % 6, "lost", HOT, stream);
+        network.play(ms(150), |_| {});
+        let engine = network.engine_of(stream).expect("it was sent");
+        network.crash(engine);
+        network.play(Duration::from_secs(20), |_| {});
+        network.begin_repeat((round as usize + 1) % 6, "answered", HOT, stream + 100);
+        network.play(Duration::from_secs(5), |_| {});
+    }
+    assert_eq!(network.quarantined, vec![]);
+    let Tally { sent, whole, .. } = network.tally("answered");
+    assert_eq!((sent, whole), (6, 6));
+    assert_eq!(network.arrivals.len(), 12);
+}
+
 cases! {
     request_that_crashes_engines_is_kept_from_them_by_6_instances =>
         |_| deadly_request(SMALL, 30, 6);
@@ -198,6 +219,7 @@
     quarantined_request_is_known_where_gossip_is_lost => lost_gossip;
     quarantined_request_is_known_to_restarted_instances => restarts;
     quarantine_of_a_request_ends_at_all_instances => end_of_quarantine;
+    request_that_is_answered_between_crashes_is_not_held_back => answered_between_crashes;
     crashes_of_something_else_condemn_no_sound_request => |_| other_crashes(SMALL, 6);
     crashes_of_something_else_condemn_no_sound_request_among_60_instances =>
         |_| other_crashes(MEDIUM, 2);
