--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -90,6 +90,17 @@
     pub whole: u32,
 }
 
+impl Tally {
+    /// What was added since `before`.
+    pub fn since(self, before: Tally) -> Tally {
+        Tally {
+            sent: self.sent - before.sent,
+            begun: self.begun - before.begun,
+            whole: self.whole - before.whole,
+        }
+    }
+}
+
 struct Waiting {
     kind: &'static str,
     attempts: u32,
@@ -309,6 +320,11 @@
         self.tallies.get(kind).copied().unwrap_or_default()
     }
 
+    /// The deadly requests that reached engines later than this.
+    pub fn deadly_after(&self, at: Instant) -> usize {
+        self.arrivals.iter().filter(|a| a.is_deadly && a.at > at).count()
+    }
+
     /// Plays `time`; `traffic` is called at each step.
     pub fn play(&mut self, time: Duration, mut traffic: impl FnMut(&mut Self)) {
         let end = self.now + time;
--- a/crates/core/tests/entry/quarantine.rs
+++ b/crates/core/tests/entry/quarantine.rs
@@ -7,7 +7,7 @@
 
 use rosemarypond_core::entry::gossip::Cause;
 
-use crate::network::{LARGE, MEDIUM, Network, SMALL, STEP, Size, Tally};
+use crate::network::{LARGE, MEDIUM, Network, SMALL, STEP, Size};
 use crate::site::{Site, cases, ms};
 
 /// The time after the fifth crash from which at most [`MAX_LATE`] requests with the
@@ -72,18 +72,6 @@
     }
 }
 
-fn since(before: Tally, after: Tally) -> Tally {
-    Tally {
-        sent: after.sent - before.sent,
-        begun: after.begun - before.begun,
-        whole: after.whole - before.whole,
-    }
-}
-
-fn deadly_after(network: &Network, at: Instant) -> usize {
-    network.arrivals.iter().filter(|a| a.is_deadly && a.at > at).count()
-}
-
 /// Plays sound traffic, then deadly requests among it until the bound, and returns
 /// the network at the bound.
 fn until_bound(mut network: Network, traffic: &mut Traffic) -> (Network, Instant) {
@@ -108,9 +96,9 @@
     network.play(CONTACT, |n| traffic.step(n));
     let before = network.tally("sound");
     network.play(Duration::from_secs(10), |n| traffic.step(n));
-    let late = deadly_after(&network, bound);
+    let late = network.deadly_after(bound);
     assert!(late <= MAX_LATE, "{late} late requests, {} crashes", network.crashes.len());
-    let sound = since(before, network.tally("sound"));
+    let sound = network.tally("sound").since(before);
     assert!(sound.begun * 10 >= sound.sent * 9, "{sound:?}");
 }
 
@@ -173,7 +161,7 @@
         network.request_to(index, "deadly", &[FIRST, DEADLY]);
     }
     network.play(Duration::from_secs(2), |_| {});
-    assert_eq!(since(before, network.tally("deadly")).whole, SMALL.instances as u32);
+    assert_eq!(network.tally("deadly").since(before).whole, SMALL.instances as u32);
 }
 
 /// Deadly requests are all that come with their middle part and few among many.
@@ -217,8 +205,8 @@
             n.request("deadly", &[FIRST + 100, OTHER]);
         }
     });
-    assert!(deadly_after(&network, late_from) == 0, "{}", deadly_after(&network, late_from));
-    let sound = since(before, network.tally("sound"));
+    assert!(network.deadly_after(late_from) == 0, "{}", network.deadly_after(late_from));
+    let sound = network.tally("sound").since(before);
     assert!(sound.begun * 10 >= sound.sent * 9, "{sound:?}");
 }
 
--- a/crates/core/tests/entry/repeats.rs
+++ b/crates/core/tests/entry/repeats.rs
@@ -52,18 +52,6 @@
     }
 }
 
-fn since(before: Tally, after: Tally) -> Tally {
-    Tally {
-        sent: after.sent - before.sent,
-        begun: after.begun - before.begun,
-        whole: after.whole - before.whole,
-    }
-}
-
-fn deadly_after(network: &Network, at: Instant) -> usize {
-    network.arrivals.iter().filter(|a| a.is_deadly && a.at > at).count()
-}
-
 /// Plays sound traffic, and then deadly requests among it until the bound, which is
 /// returned.
 fn until_bound(network: &mut Network, traffic: &mut Traffic) -> Instant {
@@ -87,11 +75,11 @@
     network.play(CONTACT, |n| traffic.step(n));
     let before = ["sound", "hot"].map(|kind| network.tally(kind));
     network.play(Duration::from_secs(20), |n| traffic.step(n));
-    let late = deadly_after(network, bound);
+    let late = network.deadly_after(bound);
     let crashes = network.crashes.len();
     assert!(late <= MAX_LATE * traffic.deadly_kinds as usize, "{late} late, {crashes} crashes");
     for (kind, before) in ["sound", "hot"].into_iter().zip(before) {
-        let tally = since(before, network.tally(kind));
+        let tally = network.tally(kind).since(before);
         assert!(tally.begun * 10 >= tally.sent * 9, "{kind}: {tally:?}, {crashes} crashes");
     }
 }
@@ -153,7 +141,7 @@
     let before = network.tally("deadly");
     network.repeat("deadly", &[FIRST, SUBJECT], DEADLY);
     network.play(Duration::from_secs(2), |_| {});
-    assert_eq!(since(before, network.tally("deadly")).whole, 1);
+    assert_eq!(network.tally("deadly").since(before).whole, 1);
 }
 
 /// Engines crash of something else, one by one or many at once, while a sound request
