Ask for higher odds where more parts are tried as the cause of crashes

The odds asked for now grow with the parts that are tried, and the rule for where hardly anything is answered counts only there (15 answers a moment).

--- a/crates/core/src/entry/quarantine/evidence.rs
+++ b/crates/core/src/entry/quarantine/evidence.rs
@@ -18,6 +18,8 @@
 const MIN_MOMENTS_OF_ALL: usize = 4;
 /// Each moment without it has to be made up by so many with it.
 const MIN_PRESENT_FOR_ABSENT: usize = 5;
+/// Where more is answered to a moment, the odds tell.
+const MAX_ANSWERS_PER_MOMENT: f64 = 15.0;
 /// How much likelier a part must be the cause of its crashes than chance.
 const MIN_ODDS: f64 = 10_000.0;
 /// How much likelier a part that was answered before is the cause than another one.
@@ -116,11 +118,14 @@
         candidates.sort_by_key(|(part, present)| {
             (self.was_answered(**part), Reverse(present.len()), **part)
         });
+        // The more parts are tried, the likelier one of them is met by chance.
+        let parts = records.iter().flat_map(|r| &r.requests).flat_map(|request| &request.parts);
+        let min_odds = min_odds * parts.collect::<BTreeSet<_>>().len() as f64;
         let is_cause = |part, present: &[usize]| {
             let prior = if self.was_answered(part) { ANSWERED_ODDS } else { 1.0 };
             let odds = self.odds(part, present, &moments, answers).map(|odds| odds * prior);
             odds.is_some_and(|odds| odds >= min_odds)
-                || self.is_in_nearly_all(part, present, &moments)
+                || self.is_in_nearly_all(part, present, &moments, answers)
         };
         candidates.into_iter().find_map(|(part, present)| {
             is_cause(*part, present).then(|| self.with_companions(*part, &suspects, &moments))?
@@ -139,11 +144,14 @@
         part: id::Part,
         present: &[usize],
         moments: &[Vec<&Record>],
+        answers: u64,
     ) -> bool {
         let Some(first) = present.first() else { return false };
+        let answers = answers_since(&moments[*first], answers);
         let absent = moments.len() - first - present.len();
         !self.was_answered(part)
             && present.len() >= MIN_MOMENTS_OF_ALL
+            && answers <= MAX_ANSWERS_PER_MOMENT * present.len() as f64
             && absent * MIN_PRESENT_FOR_ABSENT <= present.len()
     }
 
@@ -192,8 +200,7 @@
     ) -> Option<f64> {
         let first = *present.first()?;
         let since = &moments[first..];
-        let before = since.first()?.iter().map(|r| r.answers_before).min()?;
-        let answers = answers.saturating_sub(before) as f64;
+        let answers = answers_since(since.first()?, answers);
         let prompts = || since.iter().flatten().flat_map(|r| &r.requests);
         let with_part = prompts().filter(|prompt| prompt.parts.contains(&part)).count();
         let without = 1.0 - with_part as f64 / (prompts().count() as f64 + answers);
@@ -230,6 +237,12 @@
     }
 }
 
+/// How many of the `answers` of a service came after a moment.
+fn answers_since(moment: &[&Record], answers: u64) -> f64 {
+    let before = moment.iter().map(|r| r.answers_before).min().unwrap_or_default();
+    answers.saturating_sub(before) as f64
+}
+
 /// Leaves out the crashes in which only requests were lost that were lost before: if
 /// one request crashes upstreams again and again, that tells nothing of its parts.
 fn without_repetitions<'a>(records: impl Iterator<Item = &'a Record>) -> Vec<&'a Record> {
--- a/crates/core/tests/entry/quarantine.rs
+++ b/crates/core/tests/entry/quarantine.rs
@@ -273,6 +273,8 @@
     crashes_of_something_else_condemn_nothing_among_60_instances => |_| other_crashes(MEDIUM, 0..2);
     crashes_of_something_else_condemn_no_sound_part_with_seed_157 =>
         |_| other_crashes(SMALL, 157..158);
+    crashes_of_something_else_condemn_no_sound_part_with_seed_1437 =>
+        |_| other_crashes(SMALL, 1_437..1_438);
     engines_that_crash_all_the_time_condemn_nothing => |_| troubles(40, Network::crash);
     engines_that_cut_connections_condemn_nothing => |_| troubles(15, Network::cut_one);
 }
