--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -30,7 +30,7 @@
         info!(self.gateway.log, "sent"; "request" => &self.head.request,
             "upstream" => upstream.id.as_str(), "sent_before" => sent_before,
             "release" => upstream.release.as_ref().map(|release| release.as_str()),
-            "resumes" => self.head.resumes.as_deref(),
+            "begun_by" => self.head.resumes.as_deref(),
             "expected_ms" => expected.as_millis() as u64, "running" => running,
             "rank" => self.call.rank, "waited_ms" => self.elapsed_ms());
     }
