--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -178,7 +178,10 @@
         let mut connection = tokio::select! {
             taken = self.gateway.pool.take(upstream.address, CONNECT_TIMEOUT) => match taken {
                 Ok(connection) => connection,
-                Err(_) => return Outcome::Failed(Ended::NotSent, None),
+                Err(error) => {
+                    self.log_unreachable(upstream, &error);
+                    return Outcome::Failed(Ended::NotSent, None);
+                }
             },
             () = caller.disconnected() => return Outcome::CallerLeft,
         };
--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -1,5 +1,6 @@
 //! What is logged and counted of a request.
 
+use std::io;
 use std::time::{Duration, Instant};
 
 use hyper::http;
@@ -35,6 +36,12 @@
             "rank" => self.call.rank, "waited_ms" => self.elapsed_ms());
     }
 
+    /// Logs why no connection to an upstream could be opened.
+    pub fn log_unreachable(&self, upstream: &Registration, error: &io::Error) {
+        info!(self.gateway.log, "upstream cannot be reached"; "request" => &self.head.request,
+            "upstream" => upstream.id.as_str(), "error" => error.kind().to_string());
+    }
+
     /// Logs and counts a failed attempt.
     pub fn record_failed_attempt(&self, upstream: &Registration, how: Ended) {
         self.gateway.metrics.count_failed_attempt(ended_name(how));
