Share the room of upstreams that crash when they reject too many requests

Plain services are sent twice their slots, and all instances that see a slot become free send to it at once; a rejected request is tried at the next engine, which rejects it too. Class of fault: a retry storm that brings down the upstreams one after the other.

Now (core::entry::rejection): where an upstream of a service names a limit, the instances that may use each of the service's upstreams divide its slots among themselves, no more of them than it can reject requests; after a rejection an instance leaves it alone for 1 s. Peers tell each other of the limit with their loads; it is forgotten 10 s after the last answer that named it. An instance whose part is used up or that has none delegates to peers that have more.

--- a/crates/core/benches/scheduler.rs
+++ b/crates/core/benches/scheduler.rs
@@ -79,6 +79,7 @@
             running: 1,
             prefill: Tokens(1_000),
             pace: Pace::default(),
+            rejection_limit: None,
         };
         let gossip = Gossip {
             from: name(format!("i{peer}")),
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -71,7 +71,13 @@
         match self.upstreams.get_mut(&registration.id) {
             Some(known) => known.update_registration(registration),
             None => {
-                self.upstreams.insert(registration.id.clone(), Upstream::new(registration));
+                let mut upstream = Upstream::new(registration);
+                // What the upstreams of its service say holds for it as well.
+                let service = &upstream.registration.service;
+                let others = self.upstreams.values().filter(|u| u.registration.service == *service);
+                let limit = others.filter_map(|u| u.rejection_limit.stated()).max();
+                upstream.rejection_limit = limit.map(Into::into).unwrap_or_default();
+                self.upstreams.insert(upstream.registration.id.clone(), upstream);
                 true
             }
         }
@@ -268,14 +274,15 @@
         let is_usable = |u: &&Upstream| u.registration.service == *service && u.takes_work();
         let mut reach = Reach::default();
         for upstream in self.upstreams.values().filter(is_usable) {
-            reach.add(upstream.registration.slots, upstream.path.is_open());
+            reach.add(upstream.registration.slots, upstream.reachable_slots());
         }
         reach
     }
 
     /// The same for each service of which this instance cannot reach all upstreams.
     pub fn reaches(&self) -> Vec<gossip::Reach> {
-        let is_unreached = |u: &&Upstream| u.takes_work() && !u.path.is_open();
+        let is_unreached =
+            |u: &&Upstream| u.takes_work() && u.reachable_slots() < u.registration.slots;
         let unreached = self.upstreams.values().filter(is_unreached);
         let services: BTreeSet<_> = unreached.map(|u| u.registration.service.clone()).collect();
         let reach = |service: id::Service| {
@@ -366,7 +373,34 @@
 
     /// Whether an upstream has a limit.
     pub fn has_limits(&self) -> bool {
-        self.upstreams.values().any(|u| u.limit().is_some())
+        let is_limited =
+            |u: &Upstream| u.limit().is_some() || u.rejection_limit.per_second().is_some();
+        self.upstreams.values().any(is_limited)
+    }
+
+    /// The rejections per second beyond which an upstream crashes, if it named them.
+    pub fn rejection_limit(&self, id: &id::Upstream) -> Option<u32> {
+        self.upstreams.get(id).and_then(|u| u.rejection_limit.per_second())
+    }
+
+    /// Records the rejections per second beyond which an incarnation of an upstream
+    /// crashes, or that it named none; returns whether that changes.
+    pub fn state_rejection_limit(
+        &mut self,
+        id: &id::Upstream,
+        incarnation: u64,
+        per_second: Option<u32>,
+        now: Instant,
+    ) -> bool {
+        let upstream = self.upstreams.get_mut(id);
+        let upstream = upstream.filter(|u| u.registration.incarnation == incarnation);
+        let Some(upstream) = upstream else { return false };
+        let has_changed = upstream.rejection_limit.state(per_second, now);
+        let service = upstream.registration.service.clone();
+        for other in self.upstreams.values_mut().filter(|u| u.registration.service == service) {
+            other.rejection_limit.receive(per_second, now);
+        }
+        has_changed
     }
 
     /// Updates this instance's turns at the upstreams with a limit; with `only_own_zone`
@@ -428,11 +462,11 @@
     }
 
     /// Replaces the loads of a peer.
-    pub fn update_peer(&mut self, from: &id::Instance, loads: &[gossip::Load]) {
+    pub fn update_peer(&mut self, from: &id::Instance, loads: &[gossip::Load], now: Instant) {
         self.remove_peer(from);
         for load in loads {
             if let Some(upstream) = self.upstreams.get_mut(&load.upstream) {
-                upstream.update_peer(from, load);
+                upstream.update_peer(from, load, now);
             }
         }
     }
--- a/crates/core/src/entry/gossip.rs
+++ b/crates/core/src/entry/gossip.rs
@@ -19,6 +19,8 @@
     pub prefill: Tokens,
     /// The sender's estimate of its speed.
     pub pace: Pace,
+    /// The rejections per second beyond which it crashes, if it named them.
+    pub rejection_limit: Option<u32>,
 }
 
 /// An upstream that said in an answer that it is leaving.
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -18,6 +18,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod reach;
+pub mod rejection;
 pub mod scheduler;
 pub mod streams;
 pub mod upstream;
--- a/crates/core/src/entry/reach.rs
+++ b/crates/core/src/entry/reach.rs
@@ -122,17 +122,17 @@
 /// How much of a service an instance can reach.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Reach {
-    /// The slots of the upstreams that it can reach.
+    /// The slots that it can use.
     pub slots: u32,
     /// The slots of all upstreams that take new work.
     pub all_slots: u32,
 }
 
 impl Reach {
-    /// Adds an upstream.
-    pub fn add(&mut self, slots: u32, is_open: bool) {
-        self.all_slots = self.all_slots.saturating_add(slots);
-        self.slots = self.slots.saturating_add(if is_open { slots } else { 0 });
+    /// Adds an upstream, with all of its slots and those that the instance can use.
+    pub fn add(&mut self, all_slots: u32, slots: u32) {
+        self.all_slots = self.all_slots.saturating_add(all_slots);
+        self.slots = self.slots.saturating_add(slots);
     }
 
     /// Whether so little can be reached that peers have room where this instance has
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -94,6 +94,16 @@
         /// When the request was sent that it answers.
         sent: Instant,
     },
+    /// An upstream named in an answer the rejections per second beyond which it
+    /// crashes, or named none.
+    RejectionLimitStated {
+        /// The upstream.
+        upstream: id::Upstream,
+        /// Its incarnation.
+        incarnation: u64,
+        /// The rejections per second.
+        per_second: Option<u32>,
+    },
     /// An upstream asked for no further request for this time.
     Paused(id::Upstream, Duration),
     /// A peer is registered in the store, with its availability zone.
@@ -287,6 +297,11 @@
                 let has_changed = self.fleet.state_limit(&upstream, incarnation, rate, sent, now);
                 self.has_changes |= has_changed;
             }
+            Event::RejectionLimitStated { upstream, incarnation, per_second } => {
+                let fleet = &mut self.fleet;
+                self.has_changes |=
+                    fleet.state_rejection_limit(&upstream, incarnation, per_second, now);
+            }
             Event::Paused(upstream, time) => self.fleet.pause_for(&upstream, time, now),
             Event::PeerRegistered(peer, zone) => self.peer_registered(now, peer, zone),
             Event::StoreRead(watermark) => self.update_watermark(now, &watermark),
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -67,7 +67,7 @@
         if is_outdated {
             return;
         }
-        self.fleet.update_peer(&gossip.from, &gossip.loads);
+        self.fleet.update_peer(&gossip.from, &gossip.loads, now);
         let before = known.filter(|p| p.incarnation == gossip.incarnation);
         // What a peer that has run for longer than a window admitted before its
         // first message is assumed to have left the window.
--- a/crates/core/src/entry/upstream.rs
+++ b/crates/core/src/entry/upstream.rs
@@ -10,6 +10,7 @@
 use super::limit::{Group, Limit};
 use super::pace::Pace;
 use super::reach::Path;
+use super::rejection;
 use crate::hash::stable_hash;
 use crate::id;
 use crate::unit::{RequestRate, Tokens};
@@ -23,6 +24,8 @@
 /// The first pause of an upstream that rejects one request after the other; it
 /// looks idle, and without a pause would attract all waiting requests.
 const REJECTION_PAUSE: Duration = Duration::from_millis(150);
+/// The pause after a rejection of an upstream that crashes beyond so many per second.
+const LIMITED_REJECTION_PAUSE: Duration = Duration::from_secs(1);
 /// This many consecutive rejections cause no pause.
 const TOLERATED_REJECTIONS: u32 = 1;
 /// The weight of a new outcome in the failure rate.
@@ -118,6 +121,8 @@
     /// Requests that it rejected since it last accepted one.
     rejections: u32,
     limit: Option<Limit>,
+    /// The rejections beyond which it crashes.
+    pub(super) rejection_limit: rejection::Limit,
     /// Requests that this instance has sent to it.
     sent: u64,
     is_removed: bool,
@@ -147,6 +152,7 @@
             paused_until: None,
             rejections: 0,
             limit: None,
+            rejection_limit: rejection::Limit::default(),
             sent: 0,
             is_removed: false,
         }
@@ -191,6 +197,9 @@
     /// are received. Outside a full mesh, each instance therefore uses an equal
     /// share of its slots and its queue instead.
     pub(super) fn has_room(&self, call: &Call, visibility: Visibility) -> bool {
+        if let Some(share) = self.rejection_limit.share() {
+            return self.own_running() < share && self.running() < self.registration.slots;
+        }
         if call.prompt.0 > 0 {
             return self.running() < self.registration.slots;
         }
@@ -266,6 +275,9 @@
 
     pub(super) fn record_rejection(&mut self, now: Instant) {
         let beyond = self.rejections.saturating_sub(TOLERATED_REJECTIONS);
+        if self.rejection_limit.per_second().is_some() {
+            self.pause_until(now + LIMITED_REJECTION_PAUSE);
+        }
         if self.rejections >= TOLERATED_REJECTIONS {
             let pause = REJECTION_PAUSE * 2u32.pow(beyond.min(8));
             self.pause_until(now + pause.min(MAX_REJECTION_PAUSE));
@@ -306,7 +318,8 @@
         if self.registration.incarnation != registration.incarnation {
             // Another process: only the attempts that run are carried over.
             let running = std::mem::take(&mut self.running);
-            *self = Self { running, ..Self::new(registration) };
+            let rejection_limit = std::mem::take(&mut self.rejection_limit);
+            *self = Self { running, rejection_limit, ..Self::new(registration) };
             return true;
         }
         let has_changed = self.registration.leaving != registration.leaving || self.is_removed;
@@ -395,13 +408,23 @@
         }
     }
 
-    /// Updates this instance's turn at its limit.
+    /// Updates this instance's turn at its limit, and its part of the slots.
     pub(super) fn update_turn(&mut self, group: Option<&Group>, now: Instant) {
         if let Some(limit) = &mut self.limit {
             let rate = limit.rate();
             let turn = group.zip(rate).and_then(|(g, rate)| g.turn(&self.registration.id, rate));
             limit.set_turn(turn, now);
         }
+        if self.rejection_limit.per_second().is_some() {
+            let Registration { id, slots, .. } = &self.registration;
+            self.rejection_limit.update_share(group, id, *slots, now);
+        }
+    }
+
+    /// The slots that this instance can use.
+    pub(super) fn reachable_slots(&self) -> u32 {
+        let slots = if self.path.is_open() { self.registration.slots } else { 0 };
+        self.rejection_limit.share().map_or(slots, |share| slots.min(share))
     }
 
     /// What peers have to know of its limit, and whether that is news.
@@ -445,8 +468,9 @@
     }
 
     /// Updates the load of a peer.
-    pub(super) fn update_peer(&mut self, from: &id::Instance, load: &gossip::Load) {
+    pub(super) fn update_peer(&mut self, from: &id::Instance, load: &gossip::Load, now: Instant) {
         self.pace.merge(&load.pace);
+        self.rejection_limit.receive(load.rejection_limit, now);
         if load.running > 0 {
             let peer_load = Load { running: load.running, prefill: load.prefill };
             self.peer_loads.insert(from.clone(), peer_load);
@@ -465,6 +489,7 @@
             running: self.own_running(),
             prefill: Tokens(self.own_prefill()),
             pace: self.pace,
+            rejection_limit: self.rejection_limit.per_second(),
         }
     }
 }
--- a/crates/core/tests/entry/foreign.rs
+++ b/crates/core/tests/entry/foreign.rs
@@ -58,6 +58,7 @@
         running,
         prefill: Tokens(prefill),
         pace,
+        rejection_limit: running.is_multiple_of(2).then_some(prefill),
     })
 }
 
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -9,6 +9,7 @@
 mod quarantine;
 mod quota;
 mod random;
+mod rejections;
 mod repeats;
 mod resumptions;
 mod site;
--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -139,6 +139,11 @@
     pub limits: BTreeMap<usize, RequestRate>,
     /// The fraction of the requests that engines reject as not run.
     pub rejected: f64,
+    /// The rejections per second beyond which each engine crashes; engines that name
+    /// them let nothing wait.
+    pub rejection_limit: Option<u32>,
+    /// When each engine rejected requests for want of room.
+    pub rejections: Vec<(Instant, usize)>,
     /// The instances that have no paths to any engine.
     pub cut: BTreeSet<usize>,
     /// How often an instance tried to reach an engine that it could not reach.
@@ -164,6 +169,8 @@
             quarantined: vec![],
             limits: BTreeMap::new(),
             rejected: 0.0,
+            rejection_limit: None,
+            rejections: vec![],
             cut: BTreeSet::new(),
             unreached: 0,
             instances: vec![],
@@ -573,6 +580,10 @@
             let event = Event::Ended(request, Ended::NotRun { misdirected: false });
             return self.push(DELAY, instance, Due::Event(Box::new(event), incarnation));
         }
+        let is_full = self.engines[engine].runs.len() >= SLOTS as usize;
+        if self.rejection_limit.is_some() && is_full {
+            return self.reject_for_room(instance, request, engine);
+        }
         let (least, more) = FIRST_TOKEN_MS;
         let first_at = self.now + ms(least) + ms(more).mul_f64(self.chance());
         let (sent, has_begun) = (self.now, false);
@@ -580,6 +591,34 @@
         self.engines[engine].runs.push(run);
     }
 
+    /// Rejects a request for want of room; the engine crashes if it has to do that too
+    /// often.
+    fn reject_for_room(&mut self, instance: usize, request: id::Request, engine: usize) {
+        let incarnation = self.instances[instance].0;
+        let notice = self.rejection_notice(engine);
+        self.push(DELAY, instance, Due::Event(Box::new(notice), incarnation));
+        let event = Event::Ended(request, Ended::NotRun { misdirected: false });
+        self.push(DELAY, instance, Due::Event(Box::new(event), incarnation));
+        self.rejections.push((self.now, engine));
+        let is_recent = |(at, of): &&(Instant, usize)| {
+            *of == engine && self.now.saturating_duration_since(*at) < ms(1_000)
+        };
+        let recent = self.rejections.iter().rev().take(1_000).filter(is_recent).count();
+        if self.rejection_limit.is_some_and(|limit| recent > limit as usize) {
+            self.crash(engine);
+        }
+    }
+
+    /// What an answer of an engine says of the rejections beyond which it crashes.
+    fn rejection_notice(&self, engine: usize) -> Event {
+        let Registration { id, incarnation, .. } = &self.engines[engine].registration;
+        Event::RejectionLimitStated {
+            upstream: id.clone(),
+            incarnation: *incarnation,
+            per_second: self.rejection_limit,
+        }
+    }
+
     fn is_deadly(&self, instance: usize, request: id::Request) -> bool {
         let waiting = self.waiting.get(&(instance, request));
         self.crashes_engines && waiting.is_some_and(|w| w.kind == "deadly")
@@ -639,6 +678,7 @@
             let mut events = vec![];
             let Registration { id, incarnation, .. } = self.engines[index].registration.clone();
             let rate = self.limits.get(&index).copied();
+            let rejections = self.rejection_notice(index);
             let notice =
                 |sent| Event::LimitStated { upstream: id.clone(), incarnation, rate, sent };
             self.engines[index].runs.retain_mut(|run| {
@@ -646,6 +686,7 @@
                     run.has_begun = true;
                     let stated = notice(run.sent);
                     events.push((run.instance, run.incarnation, stated));
+                    events.push((run.instance, run.incarnation, rejections.clone()));
                     events.push((run.instance, run.incarnation, Event::FirstByte(run.request)));
                 }
                 let has_ended = now >= run.first_at + ANSWER_TIME;
--- a/crates/core/tests/entry/placement.rs
+++ b/crates/core/tests/entry/placement.rs
@@ -123,7 +123,13 @@
     let report = |site: &mut Site, upstream: &str, prefill_us| {
         let pace =
             Pace { prefill_us, token_us: prefill_us * 100.0, observations: 50, ..Pace::default() };
-        let load = Load { upstream: name(upstream), running: 0, prefill: Tokens(0), pace };
+        let load = Load {
+            upstream: name(upstream),
+            running: 0,
+            prefill: Tokens(0),
+            pace,
+            rejection_limit: None,
+        };
         let mut gossip = site.gossip(upstream, 1);
         gossip.loads.push(load);
         site.handle(Event::Received(gossip));
@@ -204,7 +210,13 @@
 fn peers_fill_slots(mut site: Site) {
     site.register("e1", 4);
     let mut gossip = site.gossip("a2", 1);
-    let load = Load { upstream: name("e1"), running: 4, prefill: Tokens(0), pace: Pace::default() };
+    let load = Load {
+        upstream: name("e1"),
+        running: 4,
+        prefill: Tokens(0),
+        pace: Pace::default(),
+        rejection_limit: None,
+    };
     gossip.loads.push(load);
     site.handle(Event::Received(gossip));
     let call = site.call(1);
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -89,6 +89,17 @@
     pub pause: Option<Pause>,
     /// The limit that it names.
     pub limit: Option<Limit>,
+    /// The rejections per second beyond which it crashes.
+    pub rejection_limit: Option<RejectionLimit>,
+}
+
+/// The rejections per second beyond which an upstream crashes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RejectionLimit {
+    /// So many.
+    PerSecond(u32),
+    /// The response states a number that is not valid.
+    Invalid,
 }
 
 /// The requests per second that an upstream takes from all instances together.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -19,7 +19,7 @@
 
 use crate::clock;
 use crate::delegation::{self, Order, Report};
-use crate::dialect::{Forward, Head, Limit, Meaning, Pause, Refusal, Rest};
+use crate::dialect::{Forward, Head, Limit, Meaning, Pause, Refusal, RejectionLimit, Rest};
 use crate::gateway::{Gateway, Memory};
 use crate::pool::{self, Connection};
 use crate::reply::{self, Caller, Reply};
@@ -363,6 +363,16 @@
                     "request" => &self.head.request, "upstream" => upstream.id.as_str());
             }
         }
+        match notice.rejection_limit {
+            Some(RejectionLimit::PerSecond(n)) => {
+                self.gateway.record_rejection_limit(upstream, Some(n));
+            }
+            None => self.gateway.record_rejection_limit(upstream, None),
+            Some(RejectionLimit::Invalid) => {
+                warn!(self.gateway.log, "upstream names rejections that are not valid; ignored";
+                    "request" => &self.head.request, "upstream" => upstream.id.as_str());
+            }
+        }
         match notice.pause {
             Some(Pause::For(time)) => self.gateway.record_pause(upstream, time),
             Some(Pause::Invalid) => {
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -222,6 +222,22 @@
         self.handle.event(Event::LimitStated { upstream, incarnation, rate, sent });
     }
 
+    /// Records the rejections per second beyond which an upstream crashes, or that it
+    /// named none.
+    pub fn record_rejection_limit(&self, upstream: &Registration, per_second: Option<u32>) {
+        let Registration { id, incarnation, .. } = upstream;
+        let known = self.handle.ask(|s| s.fleet().rejection_limit(id)).flatten();
+        if per_second.is_none() && known.is_none() {
+            return;
+        }
+        if per_second != known {
+            info!(self.log, "upstream names other rejections beyond which it crashes";
+                "upstream" => id.as_str(), "per_s" => per_second, "before" => known);
+        }
+        let (upstream, incarnation) = (id.clone(), *incarnation);
+        self.handle.event(Event::RejectionLimitStated { upstream, incarnation, per_second });
+    }
+
     /// Whether the instance is ready: it is not stopping and has a plan that is
     /// known to be current.
     pub fn is_ready(&self) -> bool {
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -127,6 +127,7 @@
         token_us: load.pace.token_us as f32,
         call_ms: load.pace.call_ms as f32,
         seen: load.pace.observations,
+        rejection_limit: load.rejection_limit,
     };
     let digest = |digest: Digest| wire::Digest {
         instances: digest.instances,
@@ -332,7 +333,9 @@
         };
         let upstream =
             load.upstream.parse().ok().filter(|_| is_finite && load.call_ms.is_finite())?;
-        Some(Load { upstream, running: load.running, prefill: Tokens(load.prefill), pace })
+        let rejection_limit = load.rejection_limit;
+        let prefill = Tokens(load.prefill);
+        Some(Load { upstream, running: load.running, prefill, pace, rejection_limit })
     };
     let leaving = |leaving: wire::Leaving| {
         let upstream = leaving.upstream.parse().ok()?;
