Know after a restart of all which version began a stream

Class of fault: soft state whose loss is not bounded by anything that lasts.

Now core::entry::baseline: the platform's store keeps one row for each service that names a version, the baseline. A stream of another version is recorded there before its first event is passed on; so that a stream without a record is known, not guessed, to be the baseline's. Where there is one version nothing is written but the row. A resumption that no peer knows waits for one read of the store that began after it arrived (1 s at most), and is refused otherwise. The baseline changes once its version has not served for a minute. What the store has of an older era proves nothing until an instance that knew the row before writes it again, and with it the streams it knows. A stream that cannot be recorded within 500 ms is given up before anything of it is passed on.

Weighed: a record of each stream in batches (what was begun in the last 100 ms before the kill stays unknown, and with it, truthfully, all that is unknown); no use of a version before the store has it (new engines idle while the store is away); versions by a hash of the request (differs between instances that are cut off).

--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -6,6 +6,7 @@
 //! [`node::Node`] is the actor that passes it events and runs its timer.
 
 pub mod backlog;
+pub mod baseline;
 pub mod budget;
 pub mod call;
 pub mod fleet;
--- a/crates/core/src/entry/plan.rs
+++ b/crates/core/src/entry/plan.rs
@@ -1,6 +1,6 @@
 //! The configuration in force: routes, teams with their credentials, limits.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -202,6 +202,13 @@
         self.teams.iter().map(AsRef::as_ref)
     }
 
+    /// The services of which callers may resume streams.
+    pub fn resumable_services(&self) -> BTreeSet<id::Service> {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.repeat == Repeat::Resumable);
+        resumable.flat_map(|route| &route.targets).map(|target| target.service.clone()).collect()
+    }
+
     /// A service, if the plan names it.
     pub fn service(&self, id: &id::Service) -> Option<&Service> {
         self.services.get(id)
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -8,11 +8,12 @@
 mod refusals;
 mod resumptions;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::backlog::{Backlog, Waiting};
+use super::baseline::{self, Baselines};
 use super::budget::{Allowance, Budget};
 use super::call::{Call, Ended, Origin, Reason};
 use super::fleet::{Choice, Fleet};
@@ -22,7 +23,7 @@
 use super::quota::{Counting, Quota};
 use super::streams::Streams;
 use super::upstream::{Location, Registration};
-use super::watermark::Watermark;
+use super::watermark::{Era, Watermark};
 use super::zones::{Population, Zones};
 use crate::id;
 use crate::unit::RequestRate;
@@ -106,6 +107,9 @@
     },
     /// An upstream asked for no further request for this time.
     Paused(id::Upstream, Duration),
+    /// What the shared store has of streams was read: the baselines, and the recorded
+    /// streams that are new to this instance.
+    StreamsRead(baseline::Read, Vec<gossip::Begun>),
     /// A peer is registered in the store, with its availability zone.
     PeerRegistered(id::Instance, id::Zone),
     /// The shared store was read.
@@ -156,6 +160,12 @@
         /// The time after which its caller may retry.
         retry_after: Duration,
     },
+    /// Read what the shared store has of streams.
+    ReadStreams,
+    /// Write the baseline of a service to the shared store.
+    SetBaseline(baseline::Change),
+    /// Record these streams in the shared store again.
+    RecordStreams(Vec<gossip::Begun>),
     /// Report that what is named is refused from now on, as it crashes upstreams.
     ReportQuarantine(gossip::Cause),
     /// Publish what is now known of the shared store.
@@ -200,6 +210,8 @@
     may_have_run: bool,
     /// Attempts that may have crashed their upstream.
     lost: u32,
+    /// Whether its first event begins a stream.
+    begins_stream: bool,
 }
 
 /// The scheduler of one instance.
@@ -213,6 +225,12 @@
     budget: Budget,
     quarantine: Quarantine,
     streams: Streams,
+    baselines: Baselines,
+    /// The services of which callers resume streams.
+    stream_services: BTreeSet<id::Service>,
+    baselines_reviewed: Option<Instant>,
+    /// The store's era in which the known streams are recorded.
+    streams_era: Option<Era>,
     held: HashMap<id::Request, Held>,
     peers: BTreeMap<id::Instance, Peer>,
     /// The instances of other availability zones, where loads are sent only within
@@ -245,6 +263,10 @@
             quota: Quota::new(options.counting),
             quarantine: Quarantine::default(),
             streams: Streams::default(),
+            baselines: Baselines::default(),
+            stream_services: BTreeSet::new(),
+            baselines_reviewed: None,
+            streams_era: None,
             options,
             plan: Arc::default(),
             backlog: Backlog::default(),
@@ -303,6 +325,7 @@
                     fleet.state_rejection_limit(&upstream, incarnation, per_second, now);
             }
             Event::Paused(upstream, time) => self.fleet.pause_for(&upstream, time, now),
+            Event::StreamsRead(read, begun) => self.streams_read(now, read, begun),
             Event::PeerRegistered(peer, zone) => self.peer_registered(now, peer, zone),
             Event::StoreRead(watermark) => self.update_watermark(now, &watermark),
             Event::Received(gossip) => self.received(now, gossip),
@@ -351,6 +374,7 @@
         self.find_origin(now, &mut call);
         let id = call.id;
         let excluded = call.delegation.as_ref().map(|d| d.excluded.clone()).unwrap_or_default();
+        let begins_stream = call.stream.is_some() && call.origin == Origin::Fresh;
         let held = Held {
             call,
             upstream: None,
@@ -361,6 +385,7 @@
             excluded,
             may_have_run: false,
             lost: 0,
+            begins_stream,
         };
         self.held.insert(id, held);
         self.enqueue(now, id);
@@ -396,6 +421,7 @@
     fn configured(&mut self, now: Instant, plan: Arc<Plan>) {
         if plan.version > self.plan.version {
             self.quota.configure(&plan, self.options.is_joining, now);
+            self.stream_services = plan.resumable_services();
             self.plan = plan;
         }
     }
@@ -450,6 +476,7 @@
         self.review_quarantine(now);
         self.streams.expire(self.fleet.iter(), now);
         self.resolve_origins(now);
+        self.review_baselines(now);
         self.update_turns(now);
         self.probe(now);
         self.expire(now);
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -260,6 +260,11 @@
         self.population.instances
     }
 
+    /// The same, for those that share a limit with the other instances.
+    pub fn instance_count(&self) -> usize {
+        self.instances()
+    }
+
     /// What this instance knows of the others for the quotas; the peers that are
     /// silent keep their equal share.
     pub(super) fn knowledge(&self) -> Knowledge {
--- a/crates/core/src/entry/scheduler/resumptions.rs
+++ b/crates/core/src/entry/scheduler/resumptions.rs
@@ -1,9 +1,11 @@
 //! Streams that callers resume: has them go on only at the software version that
 //! began them.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::Scheduler;
+use super::{Action, Scheduler};
+use crate::entry::baseline;
 use crate::entry::call::{Call, Origin, Reason};
 use crate::entry::gossip::Begun;
 use crate::entry::streams::{ASK_TIME, LIFETIME};
@@ -13,6 +15,11 @@
 /// the directory as it was read last.
 const MAX_DIRECTORY_AGE: Duration = Duration::from_secs(2);
 
+/// How long a request that resumes a stream waits for the shared store.
+const READ_TIME: Duration = Duration::from_millis(1_000);
+/// How often the baselines are reviewed.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(200);
+
 impl Scheduler {
     /// Finds the version that began the stream which a request resumes, or has peers
     /// asked.
@@ -25,6 +32,84 @@
         } else if let Some(stream) = call.stream {
             self.streams.ask(stream, now);
             self.has_changes = true;
+            self.read_streams(now, now);
+        }
+    }
+
+    /// Has what the shared store has of streams read, unless that was begun at `at` or
+    /// later.
+    fn read_streams(&mut self, at: Instant, now: Instant) {
+        if self.baselines.begin_read(at, now) {
+            self.actions.push(Action::ReadStreams);
+        }
+    }
+
+    /// Adds what was read in the shared store.
+    pub(super) fn streams_read(&mut self, now: Instant, read: baseline::Read, begun: Vec<Begun>) {
+        let era = read.era;
+        self.baselines.record(read);
+        self.streams.add_recorded(begun, now);
+        if self.streams_era.is_some_and(|before| era > before) {
+            self.record_again();
+        }
+        self.streams_era = self.streams_era.max(Some(era));
+        self.resolve_origins(now);
+    }
+
+    /// Records the known streams again, as the store may have lost their records.
+    fn record_again(&mut self) {
+        let mut by_release: BTreeMap<id::Release, Vec<id::Stream>> = BTreeMap::new();
+        for (stream, release) in self.streams.known() {
+            by_release.entry(release.clone()).or_default().push(stream);
+        }
+        let begun = |(release, streams)| Begun { release, streams };
+        let begun: Vec<_> = by_release.into_iter().map(begun).collect();
+        if !begun.is_empty() && self.is_poller() {
+            self.actions.push(Action::RecordStreams(begun));
+        }
+    }
+
+    /// The stream that the first event of a request begins, if it has to be recorded in
+    /// the shared store before that event is passed on.
+    pub fn unrecorded(&self, id: id::Request) -> Option<(id::Stream, id::Release)> {
+        let held = self.held.get(&id)?;
+        let Origin::Release(release) = &held.call.origin else { return None };
+        // The peer that carries it out has recorded it.
+        if !held.begins_stream || held.delegate.is_some() {
+            return None;
+        }
+        let service = &held.call.service;
+        let is_baseline = match self.baselines.of(service) {
+            Some(baseline) => baseline == release,
+            None => self.streams.releases(service) == [release.clone()],
+        };
+        (!is_baseline).then_some((held.call.stream?, release.clone()))
+    }
+
+    /// Keeps the baselines of the services of which callers resume streams.
+    pub(super) fn review_baselines(&mut self, now: Instant) {
+        let elapsed = self.baselines_reviewed.map(|at| now.saturating_duration_since(at));
+        if elapsed.is_some_and(|elapsed| elapsed < REVIEW_INTERVAL) {
+            return;
+        }
+        self.baselines_reviewed = Some(now);
+        let has_new_era = Some(self.watermark.era) > self.streams_era;
+        self.baselines.record_era(self.watermark.era);
+        if self.stream_services.is_empty() {
+            return;
+        }
+        if !self.baselines.is_read() || has_new_era {
+            self.read_streams(now, now);
+        }
+        if !self.is_poller() {
+            return;
+        }
+        let is_settled =
+            self.started.is_some_and(|started| now.saturating_duration_since(started) >= LIFETIME);
+        for service in self.stream_services.clone() {
+            let serving = self.streams.releases(&service);
+            let change = self.baselines.change(&service, &serving, is_settled, LIFETIME, now);
+            self.actions.extend(change.map(Action::SetBaseline));
         }
     }
 
@@ -73,10 +158,13 @@
         let is_unresolved = |call: &&Call| call.origin == Origin::Unknown;
         let calls = self.backlog.iter().map(|waiting| &waiting.call);
         let unresolved: Vec<_> = calls.filter(is_unresolved).cloned().collect();
+        if let Some(latest) = unresolved.iter().filter_map(|c| c.stream.map(|_| c.arrived)).max() {
+            self.read_streams(latest, now);
+        }
         for call in unresolved {
             if let Some(release) = self.release_of(now, &call) {
                 self.resume_at(now, call.id, release);
-            } else if !is_asked(now, &call) {
+            } else if !is_asked(now, &call) && !self.is_being_read(now, &call) {
                 self.refuse(now, call.id, Reason::UnknownStream);
             }
         }
@@ -93,7 +181,23 @@
     /// The version that began the stream which a request resumes, if that is certain.
     fn release_of(&self, now: Instant, call: &Call) -> Option<id::Release> {
         let known = call.stream.and_then(|stream| self.streams.release_of(stream));
-        known.or_else(|| self.only_release(now, call))
+        let baseline = || self.recorded_release(call);
+        known.or_else(baseline).or_else(|| self.only_release(now, call))
+    }
+
+    /// The baseline of its service, for a stream of which the shared store had no record
+    /// when its caller resumed it.
+    fn recorded_release(&self, call: &Call) -> Option<id::Release> {
+        let is_read = call.stream.is_some() && self.baselines.is_read_since(call.arrived);
+        self.baselines.of(&call.service).filter(|_| is_read).cloned()
+    }
+
+    /// Whether the shared store may still tell which version began the stream of a
+    /// request.
+    fn is_being_read(&self, now: Instant, call: &Call) -> bool {
+        call.stream.is_some()
+            && !self.baselines.is_read_since(call.arrived)
+            && now < call.arrived + READ_TIME
     }
 
     /// The version of all upstreams of a service, where it must have begun the stream of
--- a/crates/core/src/entry/streams.rs
+++ b/crates/core/src/entry/streams.rs
@@ -91,6 +91,15 @@
         has_news
     }
 
+    /// Adds streams that were recorded in the shared store.
+    pub fn add_recorded(&mut self, begun: Vec<Begun>, now: Instant) {
+        for Begun { release, streams } in begun {
+            for stream in streams {
+                self.learn(stream, release.clone(), now);
+            }
+        }
+    }
+
     /// What peers have to know, by version, and what they are asked.
     pub fn message(&mut self, now: Instant) -> (Vec<Begun>, Vec<id::Stream>) {
         let mut begun: BTreeMap<id::Release, Vec<id::Stream>> = BTreeMap::new();
@@ -128,6 +137,17 @@
         release.clone().filter(|_| of_service.next().is_none())
     }
 
+    /// The versions that a service's upstreams have or had within [`LIFETIME`].
+    pub fn releases(&self, service: &id::Service) -> Vec<id::Release> {
+        let of_service = self.releases.keys().filter(|(s, _)| s == service);
+        of_service.filter_map(|(_, release)| release.clone()).collect()
+    }
+
+    /// All streams that are known, by version.
+    pub fn known(&self) -> impl Iterator<Item = (id::Stream, &id::Release)> {
+        self.known.iter().map(|(stream, known)| (*stream, &known.release))
+    }
+
     /// Forgets streams and versions of long ago; `upstreams` serve now.
     pub fn expire<'a>(&mut self, upstreams: impl Iterator<Item = &'a Upstream>, now: Instant) {
         let elapsed = self.expired_at.map(|at| now.saturating_duration_since(at));
--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -2,15 +2,20 @@
 //! engines that answer, crash and start again.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
+use rosemarypond_core::config::Version;
+use rosemarypond_core::entry::baseline::{self, Baseline};
 use rosemarypond_core::entry::call::{Call, Delegation, Ended, Origin, Repeat};
-use rosemarypond_core::entry::gossip::{Cause, Gossip};
+use rosemarypond_core::entry::gossip::{Begun, Cause, Gossip};
+use rosemarypond_core::entry::plan::{self, Plan};
 use rosemarypond_core::entry::quota::Counting;
 use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler};
 use rosemarypond_core::entry::upstream::{Location, Registration};
+use rosemarypond_core::entry::watermark::Era;
 use rosemarypond_core::id;
 use rosemarypond_core::unit::{RequestRate, Tokens};
 
@@ -31,6 +36,8 @@
 const LISTED_TIME: Duration = Duration::from_millis(1_500);
 /// How long a crashed engine is down.
 const RESTART_TIME: Duration = Duration::from_secs(3);
+/// The time of a call to the store.
+const STORE_TIME: Duration = Duration::from_millis(20);
 /// How long an instance waits for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// How many requests an engine holds at once.
@@ -125,6 +132,36 @@
     Restart(usize),
 }
 
+/// What the shared store has of streams.
+#[derive(Debug, Default)]
+pub struct Store {
+    pub baselines: BTreeMap<id::Service, Baseline>,
+    pub records: usize,
+    begun: Vec<Begun>,
+    version: u64,
+}
+
+impl Store {
+    fn set_baseline(&mut self, change: baseline::Change) {
+        let baseline::Change { service, release, era, replaces } = change;
+        if self.baselines.get(&service).map_or(0, |known| known.row) == replaces {
+            self.version += 1;
+            self.baselines.insert(service, Baseline { release, era, row: self.version });
+        }
+    }
+
+    fn record(&mut self, begun: Vec<Begun>) {
+        self.records += begun.len();
+        self.begun.extend(begun);
+    }
+
+    fn read(&self, now: Instant) -> Event {
+        let baselines = self.baselines.clone().into_iter().collect();
+        let read = baseline::Read { began: now, era: Era::default(), baselines };
+        Event::StreamsRead(read, self.begun.clone())
+    }
+}
+
 pub struct Network {
     pub now: Instant,
     pub size: Size,
@@ -148,6 +185,7 @@
     pub cut: BTreeSet<usize>,
     /// How often an instance tried to reach an engine that it could not reach.
     pub unreached: usize,
+    pub store: Store,
     instances: Vec<(u64, Scheduler)>,
     engines: Vec<Engine>,
     due: BTreeMap<(Instant, u64), (usize, Due)>,
@@ -157,6 +195,25 @@
     random: ChaCha8Rng,
 }
 
+/// A plan with a route to the engines, whose streams may be resumed.
+fn plan() -> Plan {
+    let route = plan::Route {
+        name: "stream".to_owned(),
+        host: "site".to_owned(),
+        prefix: "/".to_owned(),
+        repeat: Repeat::Resumable,
+        is_stream: true,
+        timeout: ms(8_000),
+        latency_target: ms(800),
+        first_byte_timeout: ms(4_000),
+        rank: 0,
+        targets: vec![plan::Target { service: name("models"), weight: 1 }],
+        max_attempts: 3,
+        is_public: true,
+    };
+    Plan::new(Version(1), plan::Limits::default(), [route], [], [])
+}
+
 impl Network {
     pub fn new(size: Size, seed: u64) -> Self {
         let mut network = Self {
@@ -173,6 +230,7 @@
             rejections: vec![],
             cut: BTreeSet::new(),
             unreached: 0,
+            store: Store::default(),
             instances: vec![],
             engines: vec![],
             due: BTreeMap::new(),
@@ -221,6 +279,7 @@
             counting: Counting { window: WINDOW, tolerance: 0.0, tolerance_ratio: 0.0 },
             is_joining,
         });
+        scheduler.handle(self.now, Event::Configured(Arc::new(plan())));
         for engine in self.engines.iter().filter(|e| e.is_up) {
             scheduler.handle(self.now, Event::Registered(engine.registration.clone()));
         }
@@ -433,7 +492,14 @@
                 Due::Event(event, incarnation) => {
                     if self.instances[to].0 == incarnation {
                         self.observe(to, &event);
+                        let begun = match *event {
+                            Event::FirstByte(request) => Some(request),
+                            _ => None,
+                        };
                         self.handle(to, *event);
+                        if let Some(request) = begun {
+                            self.record_stream(to, request);
+                        }
                     }
                 }
                 Due::Deregister(upstream) => {
@@ -502,6 +568,12 @@
                 }
                 Action::Probe(upstream) => self.probe(index, upstream.id),
                 Action::Refuse { request, .. } => self.report_refusal(index, request),
+                Action::ReadStreams => self.read_store(index),
+                Action::SetBaseline(change) => {
+                    self.store.set_baseline(change);
+                    self.read_store(index);
+                }
+                Action::RecordStreams(begun) => self.store.record(begun),
                 Action::UpdateWatermark(_) => {}
             }
         }
@@ -521,6 +593,20 @@
         }
     }
 
+    /// Lets an instance read what the store has of streams.
+    fn read_store(&mut self, instance: usize) {
+        let incarnation = self.instances[instance].0;
+        let event = self.store.read(self.now);
+        self.push(STORE_TIME, instance, Due::Event(Box::new(event), incarnation));
+    }
+
+    /// Records the stream that a first event begins before it is passed on.
+    fn record_stream(&mut self, instance: usize, request: id::Request) {
+        if let Some((stream, release)) = self.instances[instance].1.unrecorded(request) {
+            self.store.record(vec![Begun { release, streams: vec![stream] }]);
+        }
+    }
+
     /// Opens a connection from an instance to an engine.
     fn probe(&mut self, instance: usize, upstream: id::Upstream) {
         let incarnation = self.instances[instance].0;
--- a/crates/core/tests/entry/random.rs
+++ b/crates/core/tests/entry/random.rs
@@ -67,6 +67,9 @@
             }
             Action::ReportQuarantine(_)
             | Action::Probe(_)
+            | Action::ReadStreams
+            | Action::RecordStreams(_)
+            | Action::SetBaseline(_)
             | Action::UpdateWatermark(_)
             | Action::SendGossip { .. } => {}
         }
--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -7,7 +7,7 @@
 use rosemarypond_core::entry::call::Ended;
 use rosemarypond_core::entry::upstream::Registration;
 use rosemarypond_core::id;
-use slog::info;
+use slog::{info, warn};
 
 use crate::clock;
 use crate::exchange::Exchange;
@@ -82,6 +82,13 @@
             "fingerprint" => %self.call.fingerprint, "shared_parts" => parts.join(","));
     }
 
+    /// Logs that a stream is given up, as nobody would know after a restart where it
+    /// may be resumed.
+    pub fn record_unrecorded(&self) {
+        warn!(self.gateway.log, "stream could not be recorded in the store";
+            "request" => &self.head.request, "ms" => self.elapsed_ms());
+    }
+
     /// Logs and counts a request whose caller disconnected.
     pub fn record_caller_left(&self) {
         self.gateway.metrics.count_answer("caller-left");
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -186,6 +186,10 @@
                 }
                 if progress.events_of_part == 0 {
                     directives.report_first_byte();
+                    if progress.events == 0 && !directives.record_stream().await {
+                        self.record_unrecorded();
+                        return End::Broken;
+                    }
                     self.gateway.metrics.first_seconds.observe(self.elapsed_ms() as f64 / 1e3);
                 }
                 progress.record(&event);
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -6,8 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rosemarypond_core::entry::baseline;
 use rosemarypond_core::entry::call::{Call, Ended, Origin, Reason};
-use rosemarypond_core::entry::gossip::{Cause, Gossip};
+use rosemarypond_core::entry::gossip::{Begun, Cause, Gossip};
 use rosemarypond_core::entry::node::Node;
 use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler};
 use rosemarypond_core::entry::upstream::Registration;
@@ -15,11 +16,15 @@
 use rosemarypond_core::id;
 use slog::{Logger, warn};
 use stakker::{actor, ret_nop};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
 
 use crate::actor::Host;
 use crate::clock;
 
+/// How long the first event of a stream waits until the stream is recorded.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// What is to be done with a request next.
 #[derive(Clone, Debug)]
 pub enum Directive {
@@ -68,6 +73,28 @@
     /// Upstreams to which a connection is to be opened, to find out whether that is
     /// possible.
     pub probes: mpsc::UnboundedReceiver<Registration>,
+    /// What is to be read or written in the shared store.
+    pub store: mpsc::UnboundedReceiver<StoreCall>,
+    /// The streams that are to be recorded there.
+    pub records: mpsc::UnboundedReceiver<Record>,
+}
+
+/// What is to be read or written of streams in the shared store.
+#[derive(Debug)]
+pub enum StoreCall {
+    /// Read it.
+    Read,
+    /// Write the baseline of a service.
+    SetBaseline(baseline::Change),
+}
+
+/// Streams that are to be recorded in the shared store.
+#[derive(Debug)]
+pub struct Record {
+    /// The streams.
+    pub begun: Begun,
+    /// Is told once they are recorded, where somebody waits for that.
+    pub done: Option<oneshot::Sender<()>>,
 }
 
 struct Inner {
@@ -75,6 +102,8 @@
     senders: RefCell<HashMap<id::Request, mpsc::UnboundedSender<Directive>>>,
     gossip: mpsc::UnboundedSender<Broadcast>,
     probes: mpsc::UnboundedSender<Registration>,
+    store: mpsc::UnboundedSender<StoreCall>,
+    records: mpsc::UnboundedSender<Record>,
     log: Logger,
     watermark: watch::Sender<Watermark>,
 }
@@ -92,8 +121,12 @@
         let watermark = watch::channel(Watermark::default()).0;
         let (probes, probed) = mpsc::unbounded_channel();
         let senders = RefCell::default();
-        let inner = Inner { host, senders, gossip, probes, log, watermark };
-        (Self(Rc::new(inner)), Outgoing { gossip: outgoing, probes: probed })
+        let (store, calls) = mpsc::unbounded_channel();
+        let (records, recorded) = mpsc::unbounded_channel();
+        let inner = Inner { host, senders, gossip, probes, store, records, log, watermark };
+        let outgoing =
+            Outgoing { gossip: outgoing, probes: probed, store: calls, records: recorded };
+        (Self(Rc::new(inner)), outgoing)
     }
 
     /// Runs the scheduler's timers until the thread ends.
@@ -146,6 +179,15 @@
             Action::Delegate { request, peer, excluded, origin } => {
                 self.send_directive(request, Directive::Delegate { peer, excluded, origin });
             }
+            Action::ReadStreams => drop(self.0.store.send(StoreCall::Read)),
+            Action::SetBaseline(change) => {
+                drop(self.0.store.send(StoreCall::SetBaseline(change)));
+            }
+            Action::RecordStreams(begun) => {
+                for begun in begun {
+                    drop(self.0.records.send(Record { begun, done: None }));
+                }
+            }
             Action::Probe(upstream) => drop(self.0.probes.send(upstream)),
             Action::Refuse { request, reason, retry_after } => {
                 self.send_directive(request, Directive::Refuse { reason, retry_after });
@@ -207,6 +249,17 @@
         self.handle.event(Event::ConnectionLost(self.id, answering));
     }
 
+    /// Has the stream that the first event of the answer begins recorded in the shared
+    /// store, if that is necessary; returns whether the event may be passed on.
+    pub async fn record_stream(&self) -> bool {
+        let unrecorded = self.handle.ask(|s| s.unrecorded(self.id)).flatten();
+        let Some((stream, release)) = unrecorded else { return true };
+        let (done, recorded) = oneshot::channel();
+        let begun = Begun { release, streams: vec![stream] };
+        drop(self.handle.0.records.send(Record { begun, done: Some(done) }));
+        matches!(timeout(RECORD_TIMEOUT, recorded).await, Ok(Ok(())))
+    }
+
     /// Reports to the scheduler which upstream a peer sent the request to.
     pub fn report_delegated_send(&self, upstream: id::Upstream, release: Option<id::Release>) {
         self.handle.event(Event::DelegatedSend(self.id, upstream, release));
