--- a/crates/core/src/entry/baseline.rs
+++ b/crates/core/src/entry/baseline.rs
@@ -47,8 +47,9 @@
 /// What was read in the store.
 #[derive(Clone, Debug)]
 pub struct Read {
-    /// When the read began.
-    pub began: Instant,
+    /// When the read of the recorded streams began that came first; none if only the
+    /// baselines were read.
+    pub began: Option<Instant>,
     /// The store's era.
     pub era: Era,
     /// The baseline of each service.
@@ -62,6 +63,7 @@
     /// The newest version that each service's baseline was known to be.
     trusted: BTreeMap<id::Service, id::Release>,
     era: Era,
+    is_read: bool,
     read_at: Option<Instant>,
     reading_since: Option<Instant>,
     changed_at: Option<Instant>,
@@ -77,7 +79,8 @@
         }
         self.era = read.era;
         self.reading_since = None;
-        self.read_at = self.read_at.max(Some(read.began));
+        self.is_read = true;
+        self.read_at = self.read_at.max(read.began);
         self.known = read.baselines.into_iter().collect();
         for (service, baseline) in &self.known {
             if baseline.era == self.era {
@@ -89,28 +92,48 @@
 
     /// Adds the store's era as it is known from elsewhere.
     pub fn record_era(&mut self, era: Era) {
-        self.era = self.era.max(era);
+        if era > self.era {
+            self.era = era;
+            self.is_read = false;
+        }
+    }
+
+    /// Adds a baseline that this instance has written.
+    pub fn record_written(&mut self, service: id::Service, baseline: Baseline) {
+        if baseline.era == self.era {
+            self.trusted.insert(service.clone(), baseline.release.clone());
+            self.known.insert(service, baseline);
+        }
     }
 
-    /// Whether the store was read.
+    /// Whether the baselines were read in the store's era.
     pub fn is_read(&self) -> bool {
-        self.read_at.is_some()
+        self.is_read
     }
 
-    /// Whether the store was read since `at`.
+    /// Whether the recorded streams and the baselines were read since `at`.
     pub fn is_read_since(&self, at: Instant) -> bool {
         self.read_at.is_some_and(|read_at| read_at >= at)
     }
 
-    /// Whether a read is to begin now, as one is needed that began at `at` or later;
-    /// it counts as begun.
+    /// Whether a read of the streams is to begin now, as one is needed that began at
+    /// `at` or later; it counts as begun.
     pub fn begin_read(&mut self, at: Instant, now: Instant) -> bool {
+        !self.is_read_since(at) && self.begin(now)
+    }
+
+    /// The same for a read of the baselines alone.
+    pub fn begin_first_read(&mut self, now: Instant) -> bool {
+        !self.is_read && self.begin(now)
+    }
+
+    fn begin(&mut self, now: Instant) -> bool {
         let is_reading = |since: Instant| now.saturating_duration_since(since) < READ_TIMEOUT;
-        if self.is_read_since(at) || self.reading_since.is_some_and(is_reading) {
-            return false;
+        let begins = !self.reading_since.is_some_and(is_reading);
+        if begins {
+            self.reading_since = Some(now);
         }
-        self.reading_since = Some(now);
-        true
+        begins
     }
 
     /// A service's baseline, if what the store has of it holds in its era.
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use super::backlog::{Backlog, Waiting};
-use super::baseline::{self, Baselines};
+use super::baseline::{self, Baseline, Baselines};
 use super::budget::{Allowance, Budget};
 use super::call::{Call, Ended, Origin, Reason};
 use super::fleet::{Choice, Fleet};
@@ -110,6 +110,8 @@
     /// What the shared store has of streams was read: the baselines, and the recorded
     /// streams that are new to this instance.
     StreamsRead(baseline::Read, Vec<gossip::Begun>),
+    /// This instance has written the baseline of a service.
+    BaselineWritten(id::Service, Baseline),
     /// A peer is registered in the store, with its availability zone.
     PeerRegistered(id::Instance, id::Zone),
     /// The shared store was read.
@@ -160,7 +162,9 @@
         /// The time after which its caller may retry.
         retry_after: Duration,
     },
-    /// Read what the shared store has of streams.
+    /// Read the baselines in the shared store.
+    ReadBaselines,
+    /// Read the streams that are recorded in the shared store, and then the baselines.
     ReadStreams,
     /// Write the baseline of a service to the shared store.
     SetBaseline(baseline::Change),
@@ -326,6 +330,9 @@
             }
             Event::Paused(upstream, time) => self.fleet.pause_for(&upstream, time, now),
             Event::StreamsRead(read, begun) => self.streams_read(now, read, begun),
+            Event::BaselineWritten(service, baseline) => {
+                self.baselines.record_written(service, baseline);
+            }
             Event::PeerRegistered(peer, zone) => self.peer_registered(now, peer, zone),
             Event::StoreRead(watermark) => self.update_watermark(now, &watermark),
             Event::Received(gossip) => self.received(now, gossip),
--- a/crates/core/src/entry/scheduler/resumptions.rs
+++ b/crates/core/src/entry/scheduler/resumptions.rs
@@ -93,13 +93,12 @@
             return;
         }
         self.baselines_reviewed = Some(now);
-        let has_new_era = Some(self.watermark.era) > self.streams_era;
         self.baselines.record_era(self.watermark.era);
         if self.stream_services.is_empty() {
             return;
         }
-        if !self.baselines.is_read() || has_new_era {
-            self.read_streams(now, now);
+        if self.baselines.begin_first_read(now) {
+            self.actions.push(Action::ReadBaselines);
         }
         if !self.is_poller() {
             return;
--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -157,7 +157,7 @@
 
     fn read(&self, now: Instant) -> Event {
         let baselines = self.baselines.clone().into_iter().collect();
-        let read = baseline::Read { began: now, era: Era::default(), baselines };
+        let read = baseline::Read { began: Some(now), era: Era::default(), baselines };
         Event::StreamsRead(read, self.begun.clone())
     }
 }
@@ -568,7 +568,7 @@
                 }
                 Action::Probe(upstream) => self.probe(index, upstream.id),
                 Action::Refuse { request, .. } => self.report_refusal(index, request),
-                Action::ReadStreams => self.read_store(index),
+                Action::ReadBaselines | Action::ReadStreams => self.read_store(index),
                 Action::SetBaseline(change) => {
                     self.store.set_baseline(change);
                     self.read_store(index);
--- a/crates/core/tests/entry/random.rs
+++ b/crates/core/tests/entry/random.rs
@@ -67,6 +67,7 @@
             }
             Action::ReportQuarantine(_)
             | Action::Probe(_)
+            | Action::ReadBaselines
             | Action::ReadStreams
             | Action::RecordStreams(_)
             | Action::SetBaseline(_)
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -82,8 +82,10 @@
 /// What is to be read or written of streams in the shared store.
 #[derive(Debug)]
 pub enum StoreCall {
-    /// Read it.
-    Read,
+    /// Read the baselines.
+    ReadBaselines,
+    /// Read the recorded streams, and then the baselines.
+    ReadStreams,
     /// Write the baseline of a service.
     SetBaseline(baseline::Change),
 }
@@ -179,7 +181,8 @@
             Action::Delegate { request, peer, excluded, origin } => {
                 self.send_directive(request, Directive::Delegate { peer, excluded, origin });
             }
-            Action::ReadStreams => drop(self.0.store.send(StoreCall::Read)),
+            Action::ReadBaselines => drop(self.0.store.send(StoreCall::ReadBaselines)),
+            Action::ReadStreams => drop(self.0.store.send(StoreCall::ReadStreams)),
             Action::SetBaseline(change) => {
                 drop(self.0.store.send(StoreCall::SetBaseline(change)));
             }
