Keep part of a quota's tolerance for streams that callers resume

They break off together, each counts its whole cost again, and instances that start assume that the quota was just used up. Fifteen hundredths of the tolerance are kept for them now, in equal parts for all instances.

Tests: entry quota::streams_are_resumed_beyond_the_quota_after_a_restart fails without (all are refused); quota_holds_for_streams_resumed_at_{6,90}_instances hold the quota and its tolerance where all requests resume streams, with six times the usual demand and two restarts.

--- a/crates/core/src/entry/quota/mod.rs
+++ b/crates/core/src/entry/quota/mod.rs
@@ -38,6 +38,10 @@
 /// can admit something at once whatever was used before.
 const STARTING_FRACTION: f64 = 0.75;
 
+/// The fraction of the tolerance that is kept for streams that callers resume, in equal
+/// parts for all instances: their streams were admitted once, and break off together.
+const RESUMED_FRACTION: f64 = 0.15;
+
 /// The fraction of the tolerance that a team may use at once beyond its burst.
 const SAVED_FRACTION: f64 = 0.5;
 
@@ -198,11 +202,40 @@
     ) -> Result<(), Duration> {
         let Some(usage) = self.usages.get_mut(team) else { return Ok(()) };
         usage.check(f64::from(cost.0), &self.counting, knowledge, now)?;
+        self.record(team, cost, now);
+        Ok(())
+    }
+
+    /// Admits a request that resumes a stream: beyond the quota, out of what is kept for
+    /// these.
+    ///
+    /// # Errors
+    ///
+    /// The time until enough of the quota is available.
+    pub fn admit_resumed(
+        &mut self,
+        team: &id::Team,
+        cost: Tokens,
+        now: Instant,
+        knowledge: Knowledge,
+    ) -> Result<(), Duration> {
+        let Some(usage) = self.usages.get_mut(team) else { return Ok(()) };
+        let within = usage.check(f64::from(cost.0), &self.counting, knowledge, now);
+        if let Err(wait) = within
+            && !usage.take_kept(f64::from(cost.0), &self.counting, knowledge, now)
+        {
+            return Err(wait);
+        }
+        self.record(team, cost, now);
+        Ok(())
+    }
+
+    fn record(&mut self, team: &id::Team, cost: Tokens, now: Instant) {
+        let Some(usage) = self.usages.get_mut(team) else { return };
         usage.record_own(f64::from(cost.0), now);
         for admitted in [&mut self.admitted, &mut self.zone_admitted] {
             *admitted.entry(team.clone()).or_default() += u64::from(cost.0);
         }
-        Ok(())
     }
 
     /// Refunds the cost of a request that did not run.
--- a/crates/core/src/entry/quota/usage.rs
+++ b/crates/core/src/entry/quota/usage.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use super::history::History;
-use super::{Counting, FEW_INSTANCES, Knowledge, SILENT_FRACTION, STARTING_FRACTION};
+use super::{
+    Counting, FEW_INSTANCES, Knowledge, RESUMED_FRACTION, SILENT_FRACTION, STARTING_FRACTION,
+};
 use crate::entry::plan::Limit;
 
 /// Admissions within this time are counted as one.
@@ -96,6 +98,8 @@
     own: Buckets,
     peers: Buckets,
     assumption: Option<Assumption>,
+    /// What was used of the tokens that are kept for streams that are resumed.
+    resumed: Buckets,
     /// The tokens that may be used at once.
     level: f64,
     refilled_at: Instant,
@@ -109,6 +113,7 @@
             own: Buckets::default(),
             peers: Buckets::default(),
             assumption: is_joining.then_some(assumption),
+            resumed: Buckets::default(),
             level: counting.capacity(limit),
             refilled_at: now,
         }
@@ -159,6 +164,25 @@
         if wait.is_zero() { Ok(()) } else { Err(wait) }
     }
 
+    /// Takes tokens that are kept for streams that are resumed; returns whether this
+    /// instance's part of them sufficed.
+    pub(super) fn take_kept(
+        &mut self,
+        cost: f64,
+        counting: &Counting,
+        knowledge: Knowledge,
+        now: Instant,
+    ) -> bool {
+        self.resumed.drop_expired(now, counting.window);
+        let limit = self.limits.mean(now, counting.window);
+        let kept = counting.excess(counting.quota(limit)) * RESUMED_FRACTION;
+        let is_kept = self.resumed.sum + cost <= kept / knowledge.instances.max(1) as f64;
+        if is_kept {
+            self.resumed.record(cost, now);
+        }
+        is_kept
+    }
+
     /// The tokens that may be used in a window with this quota.
     fn usable(&self, quota: f64, counting: &Counting, knowledge: Knowledge) -> f64 {
         if knowledge.has_backlog {
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -369,7 +369,12 @@
         }
         if let Some(team) = call.team.as_ref().filter(|_| !call.is_delegated()) {
             let knowledge = self.knowledge();
-            if let Err(wait) = self.quota.admit(team, call.cost, now, knowledge) {
+            let admitted = if call.origin == Origin::Fresh {
+                self.quota.admit(team, call.cost, now, knowledge)
+            } else {
+                self.quota.admit_resumed(team, call.cost, now, knowledge)
+            };
+            if let Err(wait) = admitted {
                 let retry_after = self.jittered_retry_after(&call, wait, now);
                 self.push_refusal(call.id, Reason::Quota, retry_after);
                 return;
--- a/crates/core/tests/entry/quota.rs
+++ b/crates/core/tests/entry/quota.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use rosemarypond_core::config::Version;
-use rosemarypond_core::entry::call::{Call, Ended, Reason};
+use rosemarypond_core::entry::call::{Call, Ended, Origin, Reason};
 use rosemarypond_core::entry::gossip::Gossip;
 use rosemarypond_core::entry::plan::{Limit, Limits, Plan, Team};
 use rosemarypond_core::entry::quota::{Counting, Knowledge, Quota};
@@ -56,6 +56,8 @@
     incarnations: u64,
     /// Whether each request ends as one that did not run.
     is_refunded: bool,
+    /// Whether each request resumes a stream.
+    are_resumed: bool,
     admitted: VecDeque<(Instant, f64)>,
     refused: u64,
 }
@@ -79,6 +81,7 @@
             requests: 0,
             incarnations: 0,
             is_refunded: false,
+            are_resumed: false,
             admitted: VecDeque::new(),
             refused: 0,
         };
@@ -141,7 +144,8 @@
         let index = (spread * spread * self.instances.len() as f64) as usize;
         let site = Site { now: self.now, ..Site::new() };
         let id = self.requests;
-        let call = Call { team: Some(name("a")), cost: Tokens(COST), ..site.call(id) };
+        let origin = if self.are_resumed { Origin::Release(name("v1")) } else { Origin::Fresh };
+        let call = Call { team: Some(name("a")), cost: Tokens(COST), origin, ..site.call(id) };
         let scheduler = &mut self.instances[index];
         scheduler.handle(self.now, Event::Arrived(call));
         let is_quota = |a: &Action| matches!(a, Action::Refuse { reason: Reason::Quota, .. });
@@ -274,6 +278,38 @@
     assert!(served >= LIMIT.rate * 5.0, "only {served} in 10 s after the restarts");
 }
 
+/// The same where all requests resume streams.
+fn quota_holds_for_resumed_streams(instances: usize, site: &Site) {
+    let mut cluster = running(instances, site);
+    cluster.are_resumed = true;
+    cluster.play(ms(10_000), USUAL * 6.0);
+    for _ in 0..2 {
+        cluster.now += ms(700);
+        cluster.restart(instances, true);
+        cluster.play(ms(5_000), USUAL * 6.0);
+    }
+    cluster.assert_within_quota();
+}
+
+/// All instances restart while a team requests too much; the streams that broke off
+/// are resumed all the same.
+fn resumed_after_restart(site: Site) {
+    let mut cluster = running(6, &site);
+    cluster.play(ms(8_000), USUAL * 3.0);
+    cluster.now += ms(700);
+    cluster.restart(6, true);
+    cluster.play(ms(500), USUAL * 3.0);
+    cluster.are_resumed = true;
+    let (refused, requests) = (cluster.refused, cluster.requests);
+    // Few streams, beside what is refused of the rest.
+    cluster.play(ms(100), USUAL * 3.0);
+    let (refused, requests) = (cluster.refused - refused, cluster.requests - requests);
+    assert!(requests >= 10 && refused * 2 <= requests, "{refused} of {requests} refused");
+    cluster.are_resumed = false;
+    cluster.play(ms(5_000), USUAL * 3.0);
+    cluster.assert_within_quota();
+}
+
 /// The limit is lowered: it binds a window later, and until then nothing that
 /// was used under the higher limit is held against the team.
 fn lower_limit(instances: usize, site: &Site) {
@@ -360,5 +396,9 @@
     lower_limit_binds_a_window_later_with_6_instances => |s| lower_limit(6, &s);
     lower_limit_binds_a_window_later_with_90_instances => |s| lower_limit(90, &s);
     request_that_did_not_run_counts_at_no_peer => refunds_reach_peers;
+    quota_holds_for_streams_resumed_at_6_instances => |s| quota_holds_for_resumed_streams(6, &s);
+    quota_holds_for_streams_resumed_at_90_instances =>
+        |s| quota_holds_for_resumed_streams(90, &s);
+    streams_are_resumed_beyond_the_quota_after_a_restart => resumed_after_restart;
     refused_request_is_admitted_after_the_stated_time => stated_time;
 }
