Let a fleet resume streams beyond quotas, and split what has grown

Instances draw by lot who admits one now, and fleets beyond a full mesh keep three tenths, as they use less of the tolerance after a start.

What an instance can use of each service is computed once for a pass over the waiting requests, in place of once for each request.

--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -1,6 +1,6 @@
 //! The upstreams that one instance knows, and the choice of one for a request.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use super::call::Call;
@@ -269,27 +269,21 @@
         due.into_iter().take(MAX_PROBES.saturating_sub(probed)).map(begin).collect()
     }
 
-    /// How much of a service this instance can reach.
-    pub fn reach(&self, service: &id::Service) -> Reach {
-        let is_usable = |u: &&Upstream| u.registration.service == *service && u.takes_work();
-        let mut reach = Reach::default();
-        for upstream in self.upstreams.values().filter(is_usable) {
-            reach.add(upstream.registration.slots, upstream.reachable_slots());
+    /// How much this instance can use of each service of which it cannot use all.
+    pub fn partial_reaches(&self) -> BTreeMap<id::Service, Reach> {
+        let mut reaches: BTreeMap<id::Service, Reach> = BTreeMap::new();
+        let usable = || self.upstreams.values().filter(|u| u.takes_work());
+        for upstream in usable().filter(|u| u.reachable_slots() < u.registration.slots) {
+            reaches.entry(upstream.registration.service.clone()).or_default();
         }
-        reach
-    }
-
-    /// The same for each service of which this instance cannot reach all upstreams.
-    pub fn reaches(&self) -> Vec<gossip::Reach> {
-        let is_unreached =
-            |u: &&Upstream| u.takes_work() && u.reachable_slots() < u.registration.slots;
-        let unreached = self.upstreams.values().filter(is_unreached);
-        let services: BTreeSet<_> = unreached.map(|u| u.registration.service.clone()).collect();
-        let reach = |service: id::Service| {
-            let slots = self.reach(&service).slots;
-            gossip::Reach { service, slots }
-        };
-        services.into_iter().map(reach).collect()
+        if !reaches.is_empty() {
+            for upstream in usable() {
+                if let Some(reach) = reaches.get_mut(&upstream.registration.service) {
+                    reach.add(upstream.registration.slots, upstream.reachable_slots());
+                }
+            }
+        }
+        reaches
     }
 
     /// Records that an upstream rejected a request.
--- a/crates/core/src/entry/quota/mod.rs
+++ b/crates/core/src/entry/quota/mod.rs
@@ -40,7 +40,10 @@
 
 /// The fraction of the tolerance that is kept for streams that callers resume, in equal
 /// parts for all instances: their streams were admitted once, and break off together.
-const RESUMED_FRACTION: f64 = 0.15;
+const RESUMED_FRACTION: f64 = 0.3;
+
+/// The same for few instances, which use more of it after they have started together.
+const RESUMED_FRACTION_OF_FEW: f64 = 0.15;
 
 /// The fraction of the tolerance that a team may use at once beyond its burst.
 const SAVED_FRACTION: f64 = 0.5;
@@ -207,7 +210,8 @@
     }
 
     /// Admits a request that resumes a stream: beyond the quota, out of what is kept for
-    /// these.
+    /// these. Where an instance's part of that is less than one request, those whose
+    /// `lot`, a fraction of 1, is low enough may admit one.
     ///
     /// # Errors
     ///
@@ -218,11 +222,12 @@
         cost: Tokens,
         now: Instant,
         knowledge: Knowledge,
+        lot: f64,
     ) -> Result<(), Duration> {
         let Some(usage) = self.usages.get_mut(team) else { return Ok(()) };
         let within = usage.check(f64::from(cost.0), &self.counting, knowledge, now);
         if let Err(wait) = within
-            && !usage.take_kept(f64::from(cost.0), &self.counting, knowledge, now)
+            && !usage.take_kept(f64::from(cost.0), &self.counting, knowledge, lot, now)
         {
             return Err(wait);
         }
--- a/crates/core/src/entry/quota/usage.rs
+++ b/crates/core/src/entry/quota/usage.rs
@@ -5,7 +5,8 @@
 
 use super::history::History;
 use super::{
-    Counting, FEW_INSTANCES, Knowledge, RESUMED_FRACTION, SILENT_FRACTION, STARTING_FRACTION,
+    Counting, FEW_INSTANCES, Knowledge, RESUMED_FRACTION, RESUMED_FRACTION_OF_FEW, SILENT_FRACTION,
+    STARTING_FRACTION,
 };
 use crate::entry::plan::Limit;
 
@@ -171,12 +172,17 @@
         cost: f64,
         counting: &Counting,
         knowledge: Knowledge,
+        lot: f64,
         now: Instant,
     ) -> bool {
         self.resumed.drop_expired(now, counting.window);
         let limit = self.limits.mean(now, counting.window);
-        let kept = counting.excess(counting.quota(limit)) * RESUMED_FRACTION;
-        let is_kept = self.resumed.sum + cost <= kept / knowledge.instances.max(1) as f64;
+        let is_few = knowledge.instances <= FEW_INSTANCES;
+        let fraction = if is_few { RESUMED_FRACTION_OF_FEW } else { RESUMED_FRACTION };
+        let kept = counting.excess(counting.quota(limit)) * fraction;
+        let part = kept / knowledge.instances.max(1) as f64;
+        let is_drawn = part < cost && self.resumed.sum == 0.0 && lot * cost < part;
+        let is_kept = self.resumed.sum + cost <= part || is_drawn;
         if is_kept {
             self.resumed.record(cost, now);
         }
--- a/crates/core/src/entry/scheduler/attempts.rs
+++ b/crates/core/src/entry/scheduler/attempts.rs
@@ -95,8 +95,10 @@
         let mut excluded = held.excluded.clone();
         excluded.extend(held.upstream.clone());
         let choice = self.fleet.choose(&held.call, &excluded, visibility, now);
+        let reaches = self.fleet.partial_reaches();
+        let own = reaches.get(&held.call.service);
         let has_other = matches!(choice, Choice::Send(..))
-            || self.is_better_delegated(held, &choice) && self.delegate_for(now, held).is_some();
+            || self.delegate_for(now, held, &choice, own).is_some();
         is_allowed && has_other && self.budget.has_retry(&held.call.service, now, instances)
     }
 
--- a/crates/core/src/entry/scheduler/delegations.rs
+++ b/crates/core/src/entry/scheduler/delegations.rs
@@ -11,6 +11,8 @@
 use super::{Action, Held, Scheduler};
 use crate::entry::call::{Call, Origin};
 use crate::entry::fleet::Choice;
+use crate::entry::gossip;
+use crate::entry::reach::Reach;
 use crate::hash::stable_hash;
 use crate::id;
 
@@ -25,24 +27,37 @@
     /// Whether a request is to be delegated if a peer can reach more of its upstreams:
     /// always where none is within reach. Where some are and all are full, only if
     /// they are few; those that peers reach are full as well otherwise.
-    pub(super) fn is_better_delegated(&self, held: &Held, choice: &Choice) -> bool {
+    fn is_better_delegated(held: &Held, choice: &Choice, reach: Reach) -> bool {
         match choice {
             Choice::NoUpstream => true,
             _ if held.unsent >= MAX_OWN_UNSENT_ATTEMPTS => true,
-            Choice::Wait => self.fleet.reach(&held.call.service).is_small(),
+            Choice::Wait => reach.is_small(),
             Choice::Send(..) => false,
         }
     }
 
-    /// The peer that is to carry out a request, if one can reach more of its upstreams
-    /// than this instance.
-    pub(super) fn delegate_for(&self, now: Instant, held: &Held) -> Option<id::Instance> {
+    /// What peers have to know of how much this instance can use of each service.
+    pub(super) fn reaches(&self) -> Vec<gossip::Reach> {
+        let reaches = self.fleet.partial_reaches().into_iter();
+        reaches.map(|(service, reach)| gossip::Reach { service, slots: reach.slots }).collect()
+    }
+
+    /// The peer that is to carry out a request, if one can use more of its upstreams
+    /// than this instance, and `choice` does not suit better; `own` is how much this
+    /// instance can use of the service, if not all.
+    pub(super) fn delegate_for(
+        &self,
+        now: Instant,
+        held: &Held,
+        choice: &Choice,
+        own: Option<&Reach>,
+    ) -> Option<id::Instance> {
+        let own = *own?;
         let Call { id, service, origin, .. } = &held.call;
-        if held.call.is_delegated() || *origin == Origin::Unknown {
-            return None;
-        }
-        let own = self.fleet.reach(service);
-        if own.slots == own.all_slots {
+        if held.call.is_delegated()
+            || *origin == Origin::Unknown
+            || !Self::is_better_delegated(held, choice, own)
+        {
             return None;
         }
         let is_full_mesh = self.is_full_mesh();
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -349,7 +349,7 @@
             dangers: Box::new(self.quarantine.message(now)),
             begun,
             asked,
-            reaches: if has_loads { self.fleet.reaches() } else { vec![] },
+            reaches: if has_loads { self.reaches() } else { vec![] },
             watermark: self.watermark,
         };
         self.actions.push(Action::SendGossip { audience, gossip });
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -13,16 +13,16 @@
 use rosemarypond_core::entry::plan::{Route, Team};
 use rosemarypond_core::entry::upstream::Registration;
 use rosemarypond_core::unit::Tokens;
-use slog::warn;
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout};
 
 use crate::clock;
-use crate::delegation::{self, Order, Report};
-use crate::dialect::{Forward, Head, Limit, Meaning, Pause, Refusal, RejectionLimit, Rest};
+use crate::delegation::{self, Order};
+use crate::dialect::{Forward, Head, Meaning, Refusal, Rest};
 use crate::gateway::{Gateway, Memory};
 use crate::pool::{self, Connection};
 use crate::reply::{self, Caller, Reply};
+use crate::report::read_report;
 use crate::runtime::{Directive, Directives};
 use crate::target::Target;
 
@@ -319,24 +319,8 @@
         self.outcome_of(meaning, parts, bytes)
     }
 
-    /// The outcome of a delegated attempt without an answer of an upstream.
-    async fn end_unanswered(
-        &self,
-        unanswered: Unanswered,
-        connection: Connection,
-        parts: &http::response::Parts,
-        body: Incoming,
-    ) -> Outcome {
-        self.keep_after(connection, parts, body).await;
-        match unanswered {
-            Unanswered::Ended(Ended::Broken) => self.broken(),
-            Unanswered::Ended(how) => Outcome::Failed(how, None),
-            Unanswered::TimedOut => Outcome::TimedOut { is_hanging: false },
-        }
-    }
-
     /// Keeps a connection if the rest of a response that is not needed comes soon.
-    async fn keep_after(
+    pub async fn keep_after(
         &self,
         connection: Connection,
         parts: &http::response::Parts,
@@ -349,40 +333,6 @@
         }
     }
 
-    /// Passes on to the scheduler what a response says about its upstream.
-    fn heed_notice(&self, upstream: &Registration, parts: &http::response::Parts, sent: Instant) {
-        let notice = (self.gateway.dialect.read_notice)(parts);
-        if notice.is_leaving {
-            self.gateway.record_leaving(upstream);
-        }
-        match notice.limit {
-            Some(Limit::PerSecond(rate)) => self.gateway.record_limit(upstream, Some(rate), sent),
-            None => self.gateway.record_limit(upstream, None, sent),
-            Some(Limit::Invalid) => {
-                warn!(self.gateway.log, "upstream names a limit that is not valid; ignored";
-                    "request" => &self.head.request, "upstream" => upstream.id.as_str());
-            }
-        }
-        match notice.rejection_limit {
-            Some(RejectionLimit::PerSecond(n)) => {
-                self.gateway.record_rejection_limit(upstream, Some(n));
-            }
-            None => self.gateway.record_rejection_limit(upstream, None),
-            Some(RejectionLimit::Invalid) => {
-                warn!(self.gateway.log, "upstream names rejections that are not valid; ignored";
-                    "request" => &self.head.request, "upstream" => upstream.id.as_str());
-            }
-        }
-        match notice.pause {
-            Some(Pause::For(time)) => self.gateway.record_pause(upstream, time),
-            Some(Pause::Invalid) => {
-                warn!(self.gateway.log, "upstream asks for a pause that is not valid; ignored";
-                    "request" => &self.head.request, "upstream" => upstream.id.as_str());
-            }
-            None => {}
-        }
-    }
-
     /// Keeps a connection whose response was read to its end, unless the upstream
     /// is leaving.
     pub fn keep(&self, connection: Connection, parts: &http::response::Parts) {
@@ -405,7 +355,8 @@
         }
     }
 
-    fn broken(&self) -> Outcome {
+    /// The outcome of an attempt whose request may have run without an answer.
+    pub fn broken(&self) -> Outcome {
         let lost = (self.gateway.dialect.refuse)(&Refusal::Lost);
         Outcome::Failed(Ended::Broken, Some(lost))
     }
@@ -469,14 +420,6 @@
         self.answer(caller, response, how, outcome);
     }
 
-    /// Adds how the request ended to the headers of its answer, for the peer that
-    /// delegated it.
-    pub fn report(&self, headers: &mut http::HeaderMap, outcome: delegation::Outcome) {
-        if self.call.is_delegated() {
-            Report::new(outcome, self.sent_to.borrow().as_ref()).write(headers);
-        }
-    }
-
     fn answer(
         &self,
         caller: Caller,
@@ -502,38 +445,6 @@
     }
 }
 
-/// How a delegated attempt ended that no upstream answered.
-enum Unanswered {
-    /// Another one may follow.
-    Ended(Ended),
-    /// The deadline passed.
-    TimedOut,
-}
-
-/// Reads what a peer reports of a delegated request, and tells the scheduler which
-/// upstream it was sent to.
-fn read_report(
-    parts: &mut http::response::Parts,
-    directives: &Directives,
-) -> Result<(), Unanswered> {
-    let report = Report::take(&mut parts.headers).ok_or(Unanswered::Ended(Ended::Broken))?;
-    let was_sent = report.upstream.is_some();
-    if let Some((upstream, release)) = report.upstream {
-        directives.report_delegated_send(upstream, release);
-    }
-    match report.outcome {
-        delegation::Outcome::Answered => Ok(()),
-        delegation::Outcome::NotRun if was_sent => {
-            Err(Unanswered::Ended(Ended::NotRun { misdirected: false }))
-        }
-        delegation::Outcome::NotRun => {
-            Err(Unanswered::Ended(Ended::Declined { is_unreached: false }))
-        }
-        delegation::Outcome::Lost => Err(Unanswered::Ended(Ended::Broken)),
-        delegation::Outcome::TimedOut => Err(Unanswered::TimedOut),
-    }
-}
-
 /// Why the body of a response was not read.
 enum BodyError {
     /// It is longer than [`MAX_RESPONSE_BYTES`], or there is no memory for it.
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -2,7 +2,6 @@
 //! the scheduler.
 
 use std::cell::{Cell, RefCell};
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,17 +23,17 @@
 use rosemarypond_core::id;
 use rosemarypond_core::unit::{RequestRate, Tokens};
 use slog::{Logger, info};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use crate::clock;
 use crate::delegation::{Order, Report};
 use crate::dialect::{Dialect, Head, Refusal};
-use crate::exchange::{CONNECT_TIMEOUT, Exchange};
+use crate::exchange::Exchange;
 use crate::gossip::Peers;
 use crate::metrics::Metrics;
-use crate::pool::{Connection, Pool};
+use crate::pool::Pool;
 use crate::reply::{self, Reply};
 use crate::runtime::Handle;
 use crate::target::Target;
@@ -70,7 +69,8 @@
     /// Where log lines go.
     pub log: Logger,
     peers: Peers,
-    handle: Handle,
+    /// Passes events to the scheduler.
+    pub handle: Handle,
     proof_limit: Cell<Option<Duration>>,
     plan: RefCell<Option<Arc<Plan>>>,
     proof: Cell<Proof>,
@@ -317,28 +317,6 @@
         }
     }
 
-    /// Opens a connection to each upstream that the scheduler asks for, and tells it
-    /// whether that was possible.
-    pub async fn run_probes(self: Rc<Self>, mut probes: mpsc::UnboundedReceiver<Registration>) {
-        while let Some(upstream) = probes.recv().await {
-            spawn_local(self.clone().probe(upstream));
-        }
-    }
-
-    async fn probe(self: Rc<Self>, upstream: Registration) {
-        let opened = Connection::open(upstream.address, CONNECT_TIMEOUT).await;
-        let is_reached = opened.is_ok();
-        match opened {
-            Ok(connection) => self.pool.keep_new(connection),
-            // Open connections do not answer either.
-            Err(error) if error.kind() == io::ErrorKind::TimedOut => {
-                self.pool.close(upstream.address);
-            }
-            Err(_) => {}
-        }
-        self.handle.event(Event::Probed { upstream: upstream.id, is_reached });
-    }
-
     /// The address to which an attempt is sent; none where that of a peer is not
     /// known.
     pub fn address_of(&self, target: &Target) -> Option<SocketAddr> {
