Never lose what was read of recorded streams, and conclude nothing from a part

Found by reading the change: where the store answered for the recorded streams and then not for the baselines, or where rows were looked through for deletion, what was read was dropped, and later reads asked for newer rows only. A stream of another version then counted as the baseline's and went on there (ORDER). The same held where more streams are recorded than an instance remembers.

--- a/crates/core/src/entry/scheduler/event.rs
+++ b/crates/core/src/entry/scheduler/event.rs
@@ -73,6 +73,8 @@
     /// What the shared store has of streams was read: the baselines, and the recorded
     /// streams that are new to this instance.
     StreamsRead(baseline::Read, Vec<gossip::Begun>),
+    /// Recorded streams that are new to this instance were read in the shared store.
+    RecordsRead(Vec<gossip::Begun>),
     /// This instance has written the baseline of a service.
     BaselineWritten(id::Service, Baseline),
     /// A peer is registered in the store, with its availability zone.
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -189,6 +189,7 @@
             }
             Event::Paused(upstream, time) => self.fleet.pause_for(&upstream, time, now),
             Event::StreamsRead(read, begun) => self.streams_read(now, read, begun),
+            Event::RecordsRead(begun) => self.streams.add_recorded(begun, now),
             Event::BaselineWritten(service, baseline) => {
                 self.baselines.record_written(service, baseline);
             }
--- a/crates/core/src/entry/scheduler/resumptions.rs
+++ b/crates/core/src/entry/scheduler/resumptions.rs
@@ -180,14 +180,16 @@
     /// The version that began the stream which a request resumes, if that is certain.
     fn release_of(&self, now: Instant, call: &Call) -> Option<id::Release> {
         let known = call.stream.and_then(|stream| self.streams.release_of(stream));
-        let baseline = || self.recorded_release(call);
+        let baseline = || self.recorded_release(now, call);
         known.or_else(baseline).or_else(|| self.only_release(now, call))
     }
 
     /// The baseline of its service, for a stream of which the shared store had no record
     /// when its caller resumed it.
-    fn recorded_release(&self, call: &Call) -> Option<id::Release> {
-        let is_read = call.stream.is_some() && self.baselines.is_read_since(call.arrived);
+    fn recorded_release(&self, now: Instant, call: &Call) -> Option<id::Release> {
+        let is_read = call.stream.is_some()
+            && self.baselines.is_read_since(call.arrived)
+            && self.streams.is_complete(now);
         self.baselines.of(&call.service).filter(|_| is_read).cloned()
     }
 
--- a/crates/core/src/entry/streams.rs
+++ b/crates/core/src/entry/streams.rs
@@ -44,6 +44,8 @@
     /// known.
     releases: BTreeMap<(id::Service, Option<id::Release>), Instant>,
     expired_at: Option<Instant>,
+    /// When a stream was last forgotten early for want of room.
+    dropped_at: Option<Instant>,
 }
 
 impl Streams {
@@ -55,6 +57,7 @@
 
     fn learn(&mut self, stream: id::Stream, release: id::Release, now: Instant) {
         if self.known.len() >= MAX_STREAMS {
+            self.dropped_at = Some(now);
             self.forget(now, LIFETIME / 4);
         }
         if self.known.len() < MAX_STREAMS {
@@ -68,6 +71,12 @@
         self.known.get(&stream).map(|known| known.release.clone())
     }
 
+    /// Whether all streams of the last minute are remembered that were learnt.
+    pub fn is_complete(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < LIFETIME;
+        !self.dropped_at.is_some_and(is_recent)
+    }
+
     /// Has peers asked about a stream.
     pub fn ask(&mut self, stream: id::Stream, now: Instant) {
         self.asked.entry(stream).or_insert(now);
--- a/crates/core/tests/entry/resumptions.rs
+++ b/crates/core/tests/entry/resumptions.rs
@@ -3,8 +3,15 @@
 
 use std::time::Duration;
 
+use rosemarypond_core::entry::baseline::{Baseline, Read};
+use rosemarypond_core::entry::call::{Call, Origin, Reason};
+use rosemarypond_core::entry::gossip::Begun;
+use rosemarypond_core::entry::scheduler::Event;
+use rosemarypond_core::entry::watermark::Era;
+use rosemarypond_core::id;
+
 use crate::network::{LARGE, MEDIUM, Network, SMALL, Size, Store, Tally};
-use crate::site::{Site, cases, ms};
+use crate::site::{Site, cases, ms, name, refusals, sends};
 
 /// How many streams begin and break off together.
 const STREAMS: u64 = 24;
@@ -133,6 +140,24 @@
     assert_eq!(resumed.begun, if is_kept { resumed.sent } else { 0 }, "{resumed:?}");
 }
 
+/// The store has more recorded streams than an instance remembers: one that it does not
+/// know may be among those, and is not the baseline's for sure.
+fn more_than_remembered(mut site: Site) {
+    site.register("e1", 4);
+    site.advance(ms(20));
+    let streams = (0..70_000).map(id::Stream).collect();
+    let begun = vec![Begun { release: name("v2"), streams }];
+    let baseline = Baseline { release: name("v1"), era: Era::default(), row: 1 };
+    site.now += ms(20);
+    let call = Call { stream: Some(id::Stream(80_000)), origin: Origin::Unknown, ..site.call(1) };
+    site.arrive(call);
+    let baselines = vec![(name("models"), baseline)];
+    let read = Read { began: Some(site.now), era: Era::default(), baselines };
+    assert!(sends(&site.handle(Event::StreamsRead(read, begun))).is_empty());
+    let refused: Vec<_> = (0..60).flat_map(|_| refusals(&site.advance(ms(20)))).collect();
+    assert_eq!(refused, [(1, Reason::UnknownStream)]);
+}
+
 /// Nothing is recorded of streams of the only version.
 fn only_version(_site: Site) {
     let mut network = Network::new(Size { engines: 1, ..SMALL }, 0);
@@ -163,4 +188,5 @@
     streams_are_resumed_after_6_instances_restarted => |_| restart_of_all(SMALL, 1, true);
     streams_are_resumed_after_60_instances_restarted => |_| restart_of_all(MEDIUM, 2, true);
     streams_of_the_only_version_are_resumed_without_records => only_version;
+    stream_is_not_resumed_where_too_many_are_recorded => more_than_remembered;
 }
