--- a/review/harness/harness.py
+++ b/review/harness/harness.py
@@ -159,6 +159,7 @@
         self.version = 0
         self.rows = {}
         self.away = set()
+        self.era = 1
         self.started = time.monotonic()
 
     def door(self, name):
@@ -172,6 +173,19 @@
             (self.away.add if is_away else self.away.discard)(name)
             self.lock.notify_all()
 
+    def copy(self):
+        """What the store holds now."""
+        with self.lock:
+            return self.version, dict(self.rows)
+
+    def restore(self, copy):
+        """Comes back from an older copy: versions go back, and the era rises by one."""
+        with self.lock:
+            self.version, rows = copy
+            self.rows = dict(rows)
+            self.era += 1
+            self.lock.notify_all()
+
     def put(self, table, key, value, part=""):
         """Writes a row; its return is the acknowledgement."""
         with self.lock:
@@ -183,7 +197,7 @@
         self.lock.notify_all()
 
     def _answer(self, status, body):
-        headers = [("Content-Type", "application/json"), ("Store-Era", "1")]
+        headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
         return answer(status, headers, json.dumps(body).encode() if body is not None else b"")
 
     def _serve(self, sock, name):
@@ -224,10 +238,15 @@
             return self._answer("200 OK", {"parts": parts, "HasMore": False})
         if path == "/v1/rows-feed":
             after = int(args.get("After", 0))
+            if after > self.version:
+                return self._answer("410 Gone", None)
             until = time.monotonic() + int(args.get("WaitMs", 0)) / 1000
+            era = self.era
             while True:
                 if name in self.away:
                     return self._answer("503 Unavailable", None)
+                if self.era != era:
+                    return self._answer("410 Gone", None)
                 keys = [k for k, (v, _) in self.rows.items() if k[0] == table and v > after]
                 left = until - time.monotonic()
                 if keys or left <= 0:
