--- a/review/harness/harness.py
+++ b/review/harness/harness.py
@@ -124,8 +124,12 @@
     return (head + f"Content-Length: {len(body)}\r\n\r\n").encode() + body
 
 
-def listen(ip="127.0.0.1", port=0, receive_buffer=None):
+def listen(ip="127.0.0.1", port=0, receive_buffer=None, segment=None):
+    """Listens; `segment` is the largest segment that the other end may send, such as
+    1,460 bytes on Ethernet (loopback has 65,483)."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    if segment:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     if receive_buffer:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
@@ -281,10 +285,11 @@
     """An engine or application that runs each request with `run(engine, connection,
     request)`, which returns whether the connection stays open."""
 
-    def __init__(self, name, service, record, run, slots=8, receive_buffer=None, zone="z1"):
+    def __init__(self, name, service, record, run, slots=8, receive_buffer=None, zone="z1",
+                 segment=None):
         self.name, self.service, self.record, self.run = name, service, record, run
         self.slots, self.zone = slots, zone
-        self.listener = listen(receive_buffer=receive_buffer)
+        self.listener = listen(receive_buffer=receive_buffer, segment=segment)
         self.address = "%s:%d" % self.listener.getsockname()
         self.runs = []
         self.lock = threading.Lock()
