--- a/review/harness/harness.py
+++ b/review/harness/harness.py
@@ -449,8 +449,10 @@
     raise Unusable("no internal port is free")
 
 
-def connect(ip, port, timeout=None, receive_buffer=None):
+def connect(ip, port, timeout=None, receive_buffer=None, segment=None):
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    if segment:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment)
     if receive_buffer:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
     sock.settimeout(timeout or 5.0)
