--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,7 +5,6 @@
 import json
 import os
 import socket
-import struct
 import sys
 import threading
 import time
@@ -42,11 +41,11 @@
             pass
 
     def cut(self):
+        """Refuses new connections, and ends those that are idle."""
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         for sock in self.pairs:
             try:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 sock.shutdown(socket.SHUT_RDWR)
                 sock.close()
             except OSError:
@@ -85,9 +84,9 @@
     store = LinkedStore()
     engines = [Engine(f"i-{service}-{n}", service, record, run)
                for service in ("old", "new") for n in range(2)]
-    ips = ["127.0.0.2", "127.0.0.3"]
+    ips = [f"127.0.0.{n}" for n in range(2, 6)]
     port = free_internal_port(ips)
-    for index in range(2):
+    for index in range(len(ips)):
         for engine in engines:
             store.links[(f"front-{index + 1}", engine.name)] = Link(engine.listener.getsockname())
     for engine in engines:
@@ -101,7 +100,7 @@
     for daemon in daemons:
         daemon.wait_ready()
     time.sleep(4.0)
-    first, peer = daemons
+    first, peer = daemons[:2]
     sent_at = {}
 
     def order(request):
--- a/review/harness/harness.py
+++ b/review/harness/harness.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -508,6 +509,11 @@
     record(f"disruption: {'yes' if TROUBLE else 'no'}")
     daemons = []
     status = UNUSABLE
+
+    def end(*_):
+        raise Unusable("it took too long")
+
+    signal.signal(signal.SIGTERM, end)
     with tempfile.TemporaryDirectory(prefix="review-") as scratch:
         try:
             status = BROKEN if case(record, scratch, daemons) else HELD
@@ -518,9 +524,9 @@
         finally:
             for daemon in daemons:
                 daemon.stop()
-            if os.environ.get("KEEP_LOGS"):
-                for daemon in daemons:
-                    os.system(f"cp {scratch}/{daemon.name}.log {os.environ['KEEP_LOGS']}/")
+            kept = os.environ.get("KEEP_LOGS")
+            for daemon in daemons if kept else []:
+                shutil.copy(os.path.join(scratch, f"{daemon.name}.log"), kept)
     record({BROKEN: "the rule was broken", HELD: "the rule held",
             UNUSABLE: "the case could not run"}[status])
     print(open(os.path.join(folder, "record.txt"), encoding="utf-8").read()[-400:])
