--- a/review/4/case.py
+++ b/review/4/case.py
@@ -83,7 +83,7 @@
 def case(record, scratch, daemons):
     store = LinkedStore()
     engines = [Engine(f"i-{service}-{n}", service, record, run)
-               for service in ("old", "new") for n in range(2)]
+               for service, count in (("old", 8), ("new", 2)) for n in range(count)]
     ips = [f"127.0.0.{n}" for n in range(2, 6)]
     port = free_internal_port(ips)
     for index in range(len(ips)):
