--- a/review/harness/harness.py
+++ b/review/harness/harness.py
@@ -196,6 +196,11 @@
         with self.lock:
             self._put(table, part, key, json.dumps(value).encode())
 
+    def delete(self, table, key, part=""):
+        """Removes a row."""
+        with self.lock:
+            self._put(table, part, key, None)
+
     def _put(self, table, part, key, value):
         self.version += 1
         self.rows[(table, part, key)] = (self.version, value)
