--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,6 @@
-"""A key is revoked while one entry machine is turned away by the store. Clients whose
-requests are on their way when the store serves that machine again are run with it."""
+"""Engines that are full reject long requests before they have read them, keep the
+connections, and read on soon after. Short requests that the daemon puts on these
+connections are never answered."""
 
 import os
 import sys
@@ -10,96 +11,118 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "harness"))
 from harness import *  # noqa: E402
 
-REVOKE_S = 5.0
-AWAY_S = 8.5
-BODY = b"x" * 17000
-UPLOAD_S = 0.4
-PIECES = 10
-KEY, OTHER = "key-that-is-revoked", "key-that-stays"
+ENGINES = 5
+EARLY_ENGINES = 3  # a share of 0.6
+LONG_BYTES = 100_000
+SHORT_BYTES = 600
+REQUESTS = 4000
+EACH_LONG = 20  # one request in so many is long
+WORK_S = 0.2
+AT_ONCE = 34
+READ_ON_AFTER_S = 0.3
+TIMEOUT_MS = 800
+DEADLINE_MS = 1500
+PATIENCE_S = 10.0
+KEY = "key-of-council"
 
 
-def run(engine, connection, request):
-    engine.begin(request)
-    time.sleep(0.03)
-    connection.write(answer("200 OK", engine.headers(request), b"placed"))
-    return True
+class Order(Engine):
+    """Runs orders; if it is early, it rejects long ones as not run when it has read their
+    heads, and reads on later."""
 
+    is_early = False
 
-def case(record, scratch, daemons):
-    store = Store()
-    engine = Engine("i-orders-1", "app", record, run)
-    store.put("servers", engine.name, engine.entry())
-    routes = [route("/order/", "unsafe")]
-    store.put("op", "config", config(1, routes, [tenant("council", [KEY, OTHER])]))
-    ips = ["127.0.0.2", "127.0.0.3", "127.0.0.4"]
-    port = free_internal_port(ips)
-    for index, ip in enumerate(ips):
-        daemons.append(Daemon(f"front-{index + 1}", ip, "z1", store, scratch, record, port))
-        daemons[-1].start()
-    for daemon in daemons:
-        daemon.wait_ready()
-    time.sleep(1.0)
-    cut = daemons[0]
-
-    # Clients keep connections to the machine open, and their key works.
-    clients = [connect(cut.ip, cut.front, 20) for _ in range(24)]
-    for number, client in enumerate(clients):
-        headers = [("Request-Id", f"before-{number}"), ("Deadline-Ms", "12000"),
-                   ("Authorization", f"Bearer {KEY}")]
-        client.write(head("POST", "/order/a", "site.example", headers, 10) + b"0123456789")
-        got = client.read()
-        if got.start.split()[1] != "200":
-            raise Unusable(f"a sound request got {got.start}")
-    record("the key works on all kept connections")
+    def _serve(self, sock):
+        connection = Connection(sock)
+        try:
+            while True:
+                request = connection.read_head()
+                length = int(request.header("content-length") or 0)
+                request_id = request.header("request-id")
+                if TROUBLE and self.is_early and length == LONG_BYTES:
+                    self.record(f"{self.name} rejects {request_id} before it is in")
+                    connection.write(answer("503 Service Unavailable",
+                                            [("Request-Id", request_id), ("Not-Executed", "1")]))
+                    time.sleep(READ_ON_AFTER_S)
+                    connection._exactly(length)
+                    self.record(f"{self.name} has read the rest of {request_id}")
+                    continue
+                request.body = connection._exactly(length)
+                if request.header("expect-instance") not in (None, self.name):
+                    connection.write(answer("421 Misdirected Request",
+                                            [("Request-Id", request_id)]))
+                    continue
+                self.begin(request)
+                time.sleep(WORK_S)
+                connection.write(answer("200 OK", self.headers(request), b"placed"))
+        except EOFError:
+            pass
+        except (OSError, ValueError) as error:
+            self.record(f"{self.name}: a connection ended: {error}")
+        connection.close()
 
-    # Clients keep their connections in use while the machine serves them.
-    away_at = time.monotonic()
-    if TROUBLE:
-        store.turn_away(cut.name, True)
-        record(f"the store turns {cut.name} away with 503, and serves the others")
-    time.sleep(0.2)
-    store.put("op", "config", config(2, routes, [tenant("council", [OTHER])]))
-    acked = time.monotonic()
-    record("the store has acknowledged version 2, without the key")
 
-    sent_late = {}
+def case(record, scratch, daemons):
+    store = Store()
+    for number in range(ENGINES):
+        engine = Order(f"i-orders-{number}", "app", record, None, slots=6, receive_buffer=4096,
+                       segment=1460)
+        engine.is_early = number < EARLY_ENGINES
+        store.put("servers", engine.name, engine.entry())
+    routes = [route("/order/", "unsafe", timeout_ms=TIMEOUT_MS, target_ms=150)]
+    store.put("op", "config", config(1, routes, [tenant("council", [KEY])]))
+    ip = "127.0.0.2"
+    daemon = Daemon("front-1", ip, "z1", store, scratch, record, free_internal_port([ip]))
+    daemons.append(daemon)
+    daemon.start()
+    daemon.wait_ready()
+    time.sleep(4.0)  # in touch
+    results, lock = {}, threading.Lock()
 
-    def upload(number, client, at):
-        time.sleep(max(0.0, at - time.monotonic()))
-        request = f"late-{number}"
-        headers = [("Request-Id", request), ("Deadline-Ms", "12000"),
+    def send(request, body):
+        sent = time.monotonic()
+        record(f"{request} is sent, {len(body)} bytes")
+        headers = [("Request-Id", request), ("Deadline-Ms", str(DEADLINE_MS)),
                    ("Authorization", f"Bearer {KEY}")]
-        sent = time.monotonic() - acked
-        if sent > REVOKE_S:
-            sent_late[request] = sent
-        record(f"{request} is sent, {sent:.3f} s after the acknowledgement")
         try:
-            client.write(head("POST", "/order/a", "site.example", headers, len(BODY)))
-            for index in range(PIECES):
-                size = len(BODY) // PIECES
-                client.write(BODY[index * size:(index + 1) * size])
-                time.sleep(UPLOAD_S / PIECES)
-            got = client.read()
-            record(f"{request} got {got.start} {got.body[:60]!r}")
+            connection = connect(ip, daemon.front, PATIENCE_S)
+            connection.write(head("POST", "/order/a", "site.example", headers, len(body)) + body)
+            got = connection.read().start
+            connection.close()
         except (OSError, EOFError, ValueError) as error:
-            record(f"{request} got no answer: {error}")
+            got = f"no answer ({error})"
+        took = time.monotonic() - sent
+        record(f"{request}: {got}, {took:.3f} s after it was sent")
+        with lock:
+            results[request] = (got, took)
 
-    # One client after the other, around the time at which the store is back.
-    first = away_at + AWAY_S - 1.0
-    threads = [threading.Thread(target=upload, args=(n, c, first + n * 0.08), daemon=True)
-               for n, c in enumerate(clients)]
-    for thread in threads:
-        thread.start()
-    time.sleep(max(0.0, away_at + AWAY_S - time.monotonic()))
-    store.turn_away(cut.name, False)
-    record("the store serves all machines")
+    # So many requests are under way at once, without those whose deadline has passed.
+    places = threading.Semaphore(AT_ONCE)
+
+    def send_in_place(request, body):
+        left = threading.Timer(DEADLINE_MS / 1000, places.release)
+        left.start()
+        send(request, body)
+        if results[request][1] < DEADLINE_MS / 1000:
+            left.cancel()
+            places.release()
+
+    threads = []
+    for number in range(REQUESTS):
+        is_long = number % EACH_LONG == 0
+        request = f"{'long' if is_long else 'short'}-{number}"
+        body = b"x" * (LONG_BYTES if is_long else SHORT_BYTES)
+        places.acquire()
+        threads.append(spawn(send_in_place, request, body))
     for thread in threads:
-        thread.join(20)
-    ran = [request for request in engine.runs if request in sent_late]
-    for request in ran:
-        record(f"{request} was sent {sent_late[request]:.3f} s after the acknowledgement "
-               f"that took its key away, and ran")
-    return bool(ran)
+        thread.join(PATIENCE_S + 5)
+    late = [took for _, took in results.values() if took > TIMEOUT_MS / 1000]
+    later = [took for took in late if took > TIMEOUT_MS / 1000 + 0.5]
+    never = [got for got, _ in results.values() if got.startswith("no answer")]
+    record(f"of {len(results)} requests, {len(late)} were unanswered at their route's TimeoutMs "
+           f"({TIMEOUT_MS} ms), {len(later)} of them 0.5 s later, and {len(never)} when their "
+           f"clients left after {PATIENCE_S} s")
+    return len(later) >= 8 and len(later) > len(late) / 2
 
 
 main(FOLDER, case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,6 @@
-"""The store comes back from an older copy while the machines are stopped and started in
-turn. A process that starts before the operator has written the newest configuration again
-takes the older one, with a key that was taken away, for proved."""
+"""A service's engines get another software version, and a minute later go back to the one
+before. A process that was restarted in between begins streams without a record. All processes
+are killed; callers take their streams up, and they go on at the other version."""
 
 import os
 import sys
@@ -11,27 +11,59 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "harness"))
 from harness import *  # noqa: E402
 
-REVOKE_S = 5.0
-COPY_AGE_S = 6.0
-AWAY_S = 0.5
-REWRITE_S = 1.0
-KEY, OTHER = "key-that-is-revoked", "key-that-stays"
+CLIENTS = 16
+EVENTS = 60
+EVENT_PAUSE_S = 0.08
+# After its engines have gone, a version counts as serving for a minute.
+MINUTE_S = 60.0
+KEY = "key-of-council"
+
+
+class Model(Engine):
+    """Streams events that name the version of its software."""
+
+    release = "v1"
+
+    def entry(self, state="ready"):
+        return dict(super().entry(state), Version=self.release)
 
 
 def run(engine, connection, request):
     engine.begin(request)
-    time.sleep(0.03)
-    connection.write(answer("200 OK", engine.headers(request), b"placed"))
+    text = "HTTP/1.1 200 OK\r\n"
+    for name, value in engine.headers(request):
+        text += f"{name}: {value}\r\n"
+    text += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    connection.write(text.encode())
+    for number in range(int(request.header("last-event-id") or 0) + 1, EVENTS + 1):
+        event = f"id: {number}\ndata: {engine.release}\n\n".encode()
+        connection.write(b"%x\r\n%s\r\n" % (len(event), event))
+        time.sleep(EVENT_PAUSE_S)
+    connection.write(b"0\r\n\r\n")
     return True
 
 
 def case(record, scratch, daemons):
     store = Store()
-    engine = Engine("i-orders-1", "app", record, run)
-    store.put("servers", engine.name, engine.entry())
-    routes = [route("/order/", "unsafe")]
-    store.put("op", "config", config(1, routes, [tenant("council", [KEY, OTHER])]))
-    ips = ["127.0.0.2", "127.0.0.3", "127.0.0.4"]
+
+    def start(release, number):
+        engine = Model(f"i-{release}-{number}", "llm", record, run)
+        engine.release = release
+        store.put("servers", engine.name, engine.entry())
+        record(f"{engine.name} serves version {release}")
+        return engine
+
+    def leave(engine):
+        store.put("servers", engine.name, engine.entry("draining"))
+        time.sleep(2.5)
+        store.delete("servers", engine.name)
+        engine.listener.close()
+        record(f"{engine.name} has left")
+
+    first = [start("v1", 1), start("v1", 2)]
+    routes = [route("/proof/", "streaming", "llm", attempts=1, resumable=True)]
+    store.put("op", "config", config(1, routes, [tenant("council", [KEY])], ("llm",)))
+    ips = ["127.0.0.2", "127.0.0.3"]
     port = free_internal_port(ips)
     for index, ip in enumerate(ips):
         daemons.append(Daemon(f"front-{index + 1}", ip, "z1", store, scratch, record, port,
@@ -39,66 +71,94 @@
         daemons[-1].start()
     for daemon in daemons:
         daemon.wait_ready()
-    time.sleep(4.0)
-    copy = store.copy()
-    copied = time.monotonic()
-    time.sleep(0.5)
-    store.put("op", "config", config(2, routes, [tenant("council", [OTHER])]))
-    acked = time.monotonic()
-    record("the store has acknowledged version 2, without the key")
-
-    sent_late, ended = {}, threading.Event()
-    rolled = daemons[0]
-
-    def ask_with_the_key(daemon, name):
-        number = 0
-        while not ended.is_set():
-            number += 1
-            request = f"{name}-{number}"
-            headers = [("Request-Id", request), ("Deadline-Ms", "1500"),
-                       ("Authorization", f"Bearer {KEY}")]
-            sent_late[request] = time.monotonic() - acked
-            try:
-                got = ask(daemon.ip, daemon.front, "POST", "/order/a", headers, b"0123456789")
-                record(f"{request}, sent to {daemon.name} {sent_late[request]:.3f} s after the "
-                       f"acknowledgement, got {got.start}")
-            except (OSError, EOFError, ValueError):
-                pass
-            time.sleep(0.02)
-
-    # The machine is stopped and started by the platform, as in a roll.
-    time.sleep(max(0.0, copied + COPY_AGE_S - 2.6 - time.monotonic()))
-    rolled.signal(signal.SIGTERM)
-    rolled.process.wait()
-    record(f"{rolled.name} has stopped")
-    time.sleep(max(0.0, copied + COPY_AGE_S - time.monotonic()))
+    restarted = daemons[1]
+    time.sleep(3.0)
+
+    # A release: engines of v2 come, those of v1 leave.
+    start("v2", 1)
+    start("v2", 2)
+    time.sleep(1.0)
+    for thread in [spawn(leave, engine) for engine in first]:
+        thread.join()
+    left_at = time.monotonic()
+    time.sleep(15.0)
+
+    # A roll: one process is stopped and started.
+    restarted.signal(signal.SIGTERM)
+    restarted.process.wait()
+    restarted.start()
+    restarted.wait_ready()
+    time.sleep(max(0.0, left_at + MINUTE_S + 4.0 - time.monotonic()))
+
+    # The release is taken back, at first beside v2.
+    back = [start("v1", number) for number in range(3, 9)]
+    time.sleep(2.0)
+
+    parts, lock = {}, threading.Lock()
+
+    def read(client, request, began, last, daemon, until):
+        """Reads a stream, or the rest of it; returns the id of its last event."""
+        headers = [("Request-Id", request), ("Deadline-Ms", "12000"), ("Token-Count", "100,60"),
+                   ("Authorization", f"Bearer {KEY}")]
+        if last:
+            headers += [("Last-Event-Id", str(last)), ("Resumes", began)]
+        record(f"{request} is sent to {daemon.name}, to go on after event {last}")
+        try:
+            connection = connect(daemon.ip, daemon.front, 14)
+            connection.write(head("POST", "/proof/a", "site.example", headers, 2) + b"ab")
+            message = connection.read_head()
+            if message.start.split()[1] != "200":
+                record(f"{request}: {message.start}")
+                return last
+            for chunk in connection.read_chunks():
+                number = int(chunk.split(b"\n")[0][4:])
+                with lock:
+                    parts.setdefault(client, []).append(chunk.split(b"data: ")[1].strip().decode())
+                last = number
+                if until and number >= until:
+                    break
+            connection.close()
+            record(f"{request} got {message.start}, up to event {last}")
+        except (OSError, EOFError, ValueError) as error:
+            record(f"{request} broke off after event {last}: {type(error).__name__}")
+        return last
+
+    def client(number):
+        began = f"begin-{number}"
+        # Without the kill, clients lose their connections by themselves.
+        last = read(number, began, began, 0, restarted, 0 if TROUBLE else 15 + number)
+        if not last or last == EVENTS:
+            return
+        killed.wait(20)
+        for attempt in range(3):
+            time.sleep(0.5)
+            request = f"go-on-{number}-{attempt}"
+            last = read(number, request, began, last, daemons[number % 2], 0)
+            if last == EVENTS:
+                return
+
+    killed = threading.Event()
+    threads = [spawn(client, number) for number in range(CLIENTS)]
+    time.sleep(2.0)
     if TROUBLE:
         for daemon in daemons:
-            store.turn_away(daemon.name, True)
-        record("the store is away")
-        time.sleep(AWAY_S)
-        store.restore(copy)
+            daemon.signal(signal.SIGKILL)
         for daemon in daemons:
-            store.turn_away(daemon.name, False)
-        record(f"the store is back, from a copy that is {time.monotonic() - copied:.3f} s old")
-    back = time.monotonic()
-    rolled.start()
-    asking = [spawn(ask_with_the_key, rolled, "late"),
-              spawn(ask_with_the_key, daemons[1], "other")]
-    time.sleep(max(0.0, back + REWRITE_S - time.monotonic()))
-    if TROUBLE:
-        store.put("servers", engine.name, engine.entry())
-        store.put("op", "config", config(2, routes, [tenant("council", [OTHER])]))
-        record("the operator has written version 2 again")
-    time.sleep(1.5)
-    ended.set()
-    for thread in asking:
-        thread.join(5)
-    ran = [request for request in engine.runs if sent_late.get(request, 0) > REVOKE_S]
-    for request in ran:
-        record(f"{request} was sent {sent_late[request]:.3f} s after the acknowledgement "
-               f"that took its key away, and ran")
-    return bool(ran)
+            daemon.process.wait()
+        time.sleep(0.7)
+        for daemon in daemons:
+            daemon.start()
+        for daemon in daemons:
+            daemon.wait_ready()
+    killed.set()
+    for thread in threads:
+        thread.join(30)
+    joined = {c: p for c, p in parts.items() if len(set(p)) > 1}
+    for number, releases in sorted(parts.items()):
+        runs = [r for i, r in enumerate(releases) if i == 0 or releases[i - 1] != r]
+        record(f"stream {number}: {len(releases)} events, of {' then '.join(runs)}")
+    record(f"{len(joined)} streams hold events of two versions")
+    return len(joined) > 2
 
 
 main(FOLDER, case)
