Rely on what was read of a baseline for a time only, and replace it in two steps

After a kill of all instances, about ten of sixteen streams that v1 had begun went on at v2.

Cause: an instance read the stored baseline once and relied on it for good, though another one may replace it. The restarted instance began streams of v1 without a record while the row named v2. Ruled out: a lost record, a wrong version in the directory, the resumption's own read.

Evidence: entry baselines::* replays it on a set clock.

Why it works: what is read of the row counts for 60 s, from when the read began, and not for a version that appeared after it. A row is marked as closing, which has everyone who reads it record all streams, and replaced 150 s later, when no one relies on the open row and nothing begun by it can be resumed. So what has no record is the row's at any time. Streams begun before a row exists are recorded too: one version in sight proved nothing. Rows stay readable by the build before and theirs by this one (restarts, two cases).

--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -191,7 +191,7 @@
             Event::StreamsRead(read, begun) => self.streams_read(now, read, begun),
             Event::RecordsRead(begun) => self.streams.add_recorded(begun, now),
             Event::BaselineWritten(service, baseline) => {
-                self.baselines.record_written(service, baseline);
+                self.baselines.record_written(service, baseline, now);
             }
             Event::PeerRegistered(peer, zone) => self.peer_registered(now, peer, zone),
             Event::StoreRead(watermark) => self.update_watermark(now, &watermark),
--- a/crates/core/src/entry/scheduler/resumptions.rs
+++ b/crates/core/src/entry/scheduler/resumptions.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Action, Scheduler};
-use crate::entry::baseline;
+use crate::entry::baseline::{self, Serving};
 use crate::entry::call::{Call, Origin, Reason};
 use crate::entry::gossip::Begun;
 use crate::entry::streams::{ASK_TIME, LIFETIME};
@@ -47,7 +47,7 @@
     /// Adds what was read in the shared store.
     pub(super) fn streams_read(&mut self, now: Instant, read: baseline::Read, begun: Vec<Begun>) {
         let era = read.era;
-        self.baselines.record(read);
+        self.baselines.record(read, now);
         self.streams.add_recorded(begun, now);
         if self.streams_era.is_some_and(|before| era > before) {
             self.record_again();
@@ -71,7 +71,7 @@
 
     /// The stream that the first event of a request begins, if it has to be recorded in
     /// the shared store before that event is passed on.
-    pub fn unrecorded(&self, id: id::Request) -> Option<(id::Stream, id::Release)> {
+    pub fn unrecorded(&self, now: Instant, id: id::Request) -> Option<(id::Stream, id::Release)> {
         let held = self.held.get(&id)?;
         let Origin::Release(release) = &held.call.origin else { return None };
         // The peer that carries it out has recorded it.
@@ -79,11 +79,9 @@
             return None;
         }
         let service = &held.call.service;
-        let is_baseline = match self.baselines.of(service) {
-            Some(baseline) => baseline == release,
-            None => self.streams.releases(service) == [release.clone()],
-        };
-        (!is_baseline).then_some((held.call.stream?, release.clone()))
+        let appeared = self.streams.appeared(service, release);
+        let is_covered = self.baselines.covers(service, release, appeared, now);
+        (!is_covered).then_some((held.call.stream?, release.clone()))
     }
 
     /// Keeps the baselines of the services of which callers resume streams.
@@ -97,7 +95,9 @@
         if self.stream_services.is_empty() {
             return;
         }
-        if self.baselines.begin_first_read(now) {
+        let services = self.stream_services.iter().cloned();
+        let appeared = |service: &_, release: &_| self.streams.appeared(service, release);
+        if self.baselines.begin_refresh(services, appeared, now) {
             self.actions.push(Action::ReadBaselines);
         }
         if !self.is_poller() {
@@ -106,8 +106,9 @@
         let is_settled =
             self.started.is_some_and(|started| now.saturating_duration_since(started) >= LIFETIME);
         for service in self.stream_services.clone() {
-            let serving = self.streams.releases(&service);
-            let change = self.baselines.change(&service, &serving, is_settled, LIFETIME, now);
+            let releases = self.streams.releases(&service);
+            let serving = Serving { releases: &releases, is_settled };
+            let change = self.baselines.change(&service, serving, now);
             self.actions.extend(change.map(Action::SetBaseline));
         }
     }
--- a/crates/core/src/entry/streams.rs
+++ b/crates/core/src/entry/streams.rs
@@ -32,6 +32,14 @@
     at: Instant,
 }
 
+/// When upstreams of a version were seen.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    /// Since when they have been seen within [`LIFETIME`] each time.
+    since: Instant,
+    last: Instant,
+}
+
 /// The streams of the last minute, over all instances.
 #[derive(Debug, Default)]
 pub struct Streams {
@@ -40,9 +48,8 @@
     news: BTreeMap<id::Stream, u8>,
     /// What peers are asked about, with the time of the question.
     asked: BTreeMap<id::Stream, Instant>,
-    /// When upstreams of each service had each version last; none where it is not
-    /// known.
-    releases: BTreeMap<(id::Service, Option<id::Release>), Instant>,
+    /// When upstreams of each service had each version; none where it is not known.
+    releases: BTreeMap<(id::Service, Option<id::Release>), Seen>,
     expired_at: Option<Instant>,
     /// When a stream was last forgotten early for want of room.
     dropped_at: Option<Instant>,
@@ -135,7 +142,8 @@
     /// Records that an upstream serves.
     pub fn record_release(&mut self, upstream: &Registration, now: Instant) {
         let Registration { service, release, .. } = upstream;
-        self.releases.insert((service.clone(), release.clone()), now);
+        let key = (service.clone(), release.clone());
+        self.releases.entry(key).or_insert(Seen { since: now, last: now }).last = now;
     }
 
     /// The version of all upstreams that a service had for [`LIFETIME`], if they had
@@ -152,6 +160,12 @@
         of_service.filter_map(|(_, release)| release.clone()).collect()
     }
 
+    /// Since when a service has upstreams of a version.
+    pub fn appeared(&self, service: &id::Service, release: &id::Release) -> Option<Instant> {
+        let seen = self.releases.get(&(service.clone(), Some(release.clone())));
+        seen.map(|seen| seen.since)
+    }
+
     /// All streams that are known, by version.
     pub fn known(&self) -> impl Iterator<Item = (id::Stream, &id::Release)> {
         self.known.iter().map(|(stream, known)| (*stream, &known.release))
@@ -163,7 +177,7 @@
         if elapsed.is_none_or(|elapsed| elapsed >= EXPIRY_INTERVAL) {
             self.expired_at = Some(now);
             upstreams.for_each(|upstream| self.record_release(&upstream.registration, now));
-            self.releases.retain(|_, at| now.saturating_duration_since(*at) < LIFETIME);
+            self.releases.retain(|_, seen| now.saturating_duration_since(seen.last) < LIFETIME);
             self.forget(now, LIFETIME);
         }
     }
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of an entry instance, on a clock that the tests set.
 
+mod baselines;
 mod delegations;
 mod foreign;
 mod limit;
--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -143,10 +143,11 @@
 
 impl Store {
     fn set_baseline(&mut self, change: baseline::Change) {
-        let baseline::Change { service, release, era, replaces } = change;
+        let baseline::Change { service, release, is_closing, era, replaces } = change;
         if self.baselines.get(&service).map_or(0, |known| known.row) == replaces {
             self.version += 1;
-            self.baselines.insert(service, Baseline { release, era, row: self.version });
+            let row = self.version;
+            self.baselines.insert(service, Baseline { release, is_closing, era, row });
         }
     }
 
@@ -157,7 +158,12 @@
 
     fn read(&self, now: Instant) -> Event {
         let baselines = self.baselines.clone().into_iter().collect();
-        let read = baseline::Read { began: Some(now), era: Era::default(), baselines };
+        let read = baseline::Read {
+            began: Some(now),
+            baselines_began: now,
+            era: Era::default(),
+            baselines,
+        };
         Event::StreamsRead(read, self.begun.clone())
     }
 }
@@ -196,7 +202,7 @@
 }
 
 /// A plan with a route to the engines, whose streams may be resumed.
-fn plan() -> Plan {
+pub fn plan() -> Plan {
     let route = plan::Route {
         name: "stream".to_owned(),
         host: "site".to_owned(),
@@ -602,7 +608,7 @@
 
     /// Records the stream that a first event begins before it is passed on.
     fn record_stream(&mut self, instance: usize, request: id::Request) {
-        if let Some((stream, release)) = self.instances[instance].1.unrecorded(request) {
+        if let Some((stream, release)) = self.instances[instance].1.unrecorded(self.now, request) {
             self.store.record(vec![Begun { release, streams: vec![stream] }]);
         }
     }
--- a/crates/core/tests/entry/resumptions.rs
+++ b/crates/core/tests/entry/resumptions.rs
@@ -147,12 +147,13 @@
     site.advance(ms(20));
     let streams = (0..70_000).map(id::Stream).collect();
     let begun = vec![Begun { release: name("v2"), streams }];
-    let baseline = Baseline { release: name("v1"), era: Era::default(), row: 1 };
+    let baseline = Baseline { release: name("v1"), is_closing: false, era: Era::default(), row: 1 };
     site.now += ms(20);
     let call = Call { stream: Some(id::Stream(80_000)), origin: Origin::Unknown, ..site.call(1) };
     site.arrive(call);
     let baselines = vec![(name("models"), baseline)];
-    let read = Read { began: Some(site.now), era: Era::default(), baselines };
+    let began = site.now;
+    let read = Read { began: Some(began), baselines_began: began, era: Era::default(), baselines };
     assert!(sends(&site.handle(Event::StreamsRead(read, begun))).is_empty());
     let refused: Vec<_> = (0..60).flat_map(|_| refusals(&site.advance(ms(20)))).collect();
     assert_eq!(refused, [(1, Reason::UnknownStream)]);
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -255,7 +255,7 @@
     /// Has the stream that the first event of the answer begins recorded in the shared
     /// store, if that is necessary; returns whether the event may be passed on.
     pub async fn record_stream(&self) -> bool {
-        let unrecorded = self.handle.ask(|s| s.unrecorded(self.id)).flatten();
+        let unrecorded = self.handle.ask(|s| s.unrecorded(clock::now(), self.id)).flatten();
         let Some((stream, release)) = unrecorded else { return true };
         let (done, recorded) = oneshot::channel();
         let begun = Begun { release, streams: vec![stream] };
