Don't send a request behind the rest of one that was answered early

Cause: a connection went into the pool when its answer had been read, while the rest of its request was still being written; the next request to that engine waited on it in Pool::take, without a limit in time. Ruled out: full engines, lost connections, and the scheduler, whose log has "sent" for these requests.

Why it works: a connection that is still writing is reset when its answer has been read; the pool gives out only connections that can send at once and waits for none; opening one ends at the deadline too.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -215,6 +215,7 @@
                 }
             },
             () = caller.disconnected() => return Outcome::CallerLeft,
+            () = sleep_until(deadline.into()) => return Outcome::Failed(target.unsent(), None),
         };
         let started = clock::now();
         if started >= deadline {
@@ -334,9 +335,11 @@
     }
 
     /// Keeps a connection whose response was read to its end, unless the upstream
-    /// is leaving.
+    /// is leaving, or has answered before the request was written.
     pub fn keep(&self, connection: Connection, parts: &http::response::Parts) {
-        if !(self.gateway.dialect.read_notice)(parts).is_leaving {
+        if connection.is_writing() {
+            self.record_early_answer();
+        } else if !(self.gateway.dialect.read_notice)(parts).is_leaving {
             self.gateway.pool.keep(connection, parts);
         } else {
             connection.mark_idle();
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -28,6 +28,8 @@
     pub delegated_requests: Counter,
     /// Connections to upstreams that ended before the answer was complete.
     pub lost_connections: Counter,
+    /// Answers that came before their requests were written to their end.
+    pub early_answers: Counter,
     /// Seconds until the first byte or event of an answer.
     pub first_seconds: Histogram,
     /// Open connections from callers.
@@ -51,6 +53,7 @@
             delegations: Counter::default(),
             delegated_requests: Counter::default(),
             lost_connections: Counter::default(),
+            early_answers: Counter::default(),
             first_seconds: Histogram::new(exponential_buckets(0.01, 2.0, 11)),
             connections: Gauge::default(),
             held_body_bytes: Gauge::default(),
@@ -77,6 +80,11 @@
             "Connections to upstreams that ended before the answer was complete",
             metrics.lost_connections.clone(),
         );
+        registry.register(
+            "early_answers",
+            "Answers that came before their requests were written to their end",
+            metrics.early_answers.clone(),
+        );
         registry.register("first_seconds", "First byte or event", metrics.first_seconds.clone());
         registry.register("connections", "Open connections", metrics.connections.clone());
         registry.register(
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -180,9 +180,15 @@
         self.is_idle.set(true);
     }
 
-    /// Whether the connection has not been closed.
-    pub fn is_open(&self) -> bool {
-        !self.sender.is_closed()
+    /// Whether another request can be sent at once.
+    pub fn is_ready(&self) -> bool {
+        !self.sender.is_closed() && self.sender.is_ready()
+    }
+
+    /// Whether the last request is still being written, although it may be answered:
+    /// an upstream may answer early and read on later.
+    pub fn is_writing(&self) -> bool {
+        !self.sender.is_closed() && !self.sender.is_ready()
     }
 }
 
@@ -209,19 +215,17 @@
         address: SocketAddr,
         connect_timeout: Duration,
     ) -> io::Result<Connection> {
-        while let Some(mut connection) = self.take_idle(address) {
-            if connection.sender.ready().await.is_ok() {
-                return Ok(connection);
-            }
+        match self.take_idle(address) {
+            Some(connection) => Ok(connection),
+            None => Connection::open(address, connect_timeout).await,
         }
-        Connection::open(address, connect_timeout).await
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        connections.retain(|entry| now < entry.expires_at && !entry.connection.sender.is_closed());
+        connections.retain(|entry| now < entry.expires_at && entry.connection.is_ready());
         connections.pop().map(|entry| entry.connection)
     }
 
@@ -230,13 +234,13 @@
         self.put(connection, DEFAULT_IDLE_TIMEOUT);
     }
 
-    /// Keeps a connection whose response was read to its end for reuse, as far
-    /// as the head of the response allows it.
+    /// Keeps a connection whose response was read to its end for reuse, as far as it is
+    /// ready and the head of the response allows it.
     pub fn keep(&self, connection: Connection, response: &http::response::Parts) {
         connection.mark_idle();
         let header = |name| response.headers.get(name).and_then(|v| v.to_str().ok());
         let closes = |value: &str| value.eq_ignore_ascii_case("close");
-        if connection.sender.is_closed() || header(http::header::CONNECTION).is_some_and(closes) {
+        if !connection.is_ready() || header(http::header::CONNECTION).is_some_and(closes) {
             return;
         }
         let keep_alive = header(http::HeaderName::from_static("keep-alive"));
@@ -263,8 +267,7 @@
     pub fn sweep(&self, is_known: impl Fn(&SocketAddr) -> bool) {
         let now = clock::now();
         self.idle.borrow_mut().retain(|address, connections| {
-            connections
-                .retain(|entry| now < entry.expires_at && !entry.connection.sender.is_closed());
+            connections.retain(|entry| now < entry.expires_at && entry.connection.is_ready());
             !connections.is_empty() && is_known(address)
         });
     }
--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -82,6 +82,12 @@
             "fingerprint" => %self.call.fingerprint, "shared_parts" => parts.join(","));
     }
 
+    /// Counts an answer that came before its request was written to its end; the
+    /// connection is closed.
+    pub fn record_early_answer(&self) {
+        self.gateway.metrics.early_answers.inc();
+    }
+
     /// Logs that a stream is given up, as nobody would know after a restart where it
     /// may be resumed.
     pub fn record_unrecorded(&self) {
