Don't resume a named stream only because one version is in sight

Reported from another system: while engines of a new version joined, an instance that was out of step resumed streams of theirs at another version. It can happen here: an instance that has seen one version for a minute resumed a stream that nobody told it of at that one, if its directory counted as read within 2 s. It counted so when a peer's watermark came, and others use engines that join within the 2 s at once.

Evidence: entry resumptions stream_is_not_resumed_at_an_instance_that_is_out_of_step, which failed before with left: [(1, "e1")], right: []. Ruled out: the store's answer, which counts only from the caller's arrival on, and records, which are written before the first event.

Why it works: a version now comes from the instance that knows the stream, from a peer or from a read of the store that began after the caller came; else the request is refused as not run.

--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -104,8 +104,6 @@
     /// The peers to which nothing is delegated before this time.
     paused_delegates: BTreeMap<id::Instance, Instant>,
     watermark: Watermark,
-    /// When the directory of upstreams was last known to be the newest.
-    directory_read: Option<Instant>,
     started: Option<Instant>,
     sequence: u64,
     last_gossip: Option<Instant>,
@@ -139,7 +137,6 @@
             population: Population { instances: 1, silent: 0, age: Duration::ZERO },
             paused_delegates: BTreeMap::new(),
             watermark: Watermark::default(),
-            directory_read: None,
             started: None,
             sequence: 0,
             last_gossip: None,
@@ -194,7 +191,7 @@
                 self.baselines.record_written(service, baseline, now);
             }
             Event::PeerRegistered(peer, zone) => self.peer_registered(now, peer, zone),
-            Event::StoreRead(watermark) => self.update_watermark(now, &watermark),
+            Event::StoreRead(watermark) => self.update_watermark(&watermark),
             Event::Received(gossip) => self.received(now, gossip),
             Event::Stop => self.stop(now),
             Event::Tick => self.tick(now),
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -122,7 +122,7 @@
         self.receive_limits(now, &gossip.limits, Some((&from, gossip.incarnation)));
         self.receive_dangers(now, *gossip.dangers);
         self.receive_streams(now, gossip.begun, &gossip.asked);
-        self.update_watermark(now, &gossip.watermark);
+        self.update_watermark(&gossip.watermark);
         self.dispatch_waiting(now);
     }
 
@@ -161,7 +161,7 @@
         }
         self.receive_limits(now, &gossip.limits, None);
         self.receive_dangers(now, *gossip.dangers);
-        self.update_watermark(now, &gossip.watermark);
+        self.update_watermark(&gossip.watermark);
     }
 
     /// Adds a registered peer; it may be running although nothing was received
@@ -186,12 +186,7 @@
 
     /// Merges what this instance or a peer read in the store, and publishes the
     /// result; a newer version is sent to peers.
-    pub(super) fn update_watermark(&mut self, now: Instant, watermark: &Watermark) {
-        if (watermark.era, watermark.directory_at)
-            > (self.watermark.era, self.watermark.directory_at)
-        {
-            self.directory_read = Some(now);
-        }
+    pub(super) fn update_watermark(&mut self, watermark: &Watermark) {
         self.has_changes |= watermark.has_changed_since(&self.watermark);
         if self.watermark.merge(watermark) {
             self.actions.push(Action::UpdateWatermark(self.watermark));
--- a/crates/core/src/entry/scheduler/resumptions.rs
+++ b/crates/core/src/entry/scheduler/resumptions.rs
@@ -11,10 +11,6 @@
 use crate::entry::streams::{ASK_TIME, LIFETIME};
 use crate::id;
 
-/// Within this time upstreams of another version may have begun to serve that are not in
-/// the directory as it was read last.
-const MAX_DIRECTORY_AGE: Duration = Duration::from_secs(2);
-
 /// How long a request that resumes a stream waits for the shared store.
 const READ_TIME: Duration = Duration::from_millis(1_000);
 /// How often the baselines are reviewed.
@@ -182,7 +178,7 @@
     fn release_of(&self, now: Instant, call: &Call) -> Option<id::Release> {
         let known = call.stream.and_then(|stream| self.streams.release_of(stream));
         let baseline = || self.recorded_release(now, call);
-        known.or_else(baseline).or_else(|| self.only_release(now, call))
+        known.or_else(baseline).or_else(|| self.only_release(call))
     }
 
     /// The baseline of its service, for a stream of which the shared store had no record
@@ -202,19 +198,14 @@
             && now < call.arrived + READ_TIME
     }
 
-    /// The version of all upstreams of a service, where it must have begun the stream of
-    /// a request: there was no other while the stream can have run. A caller that does
-    /// not name its stream has always gone on at any of them.
-    fn only_release(&self, now: Instant, call: &Call) -> Option<id::Release> {
-        let is_within = |at: Option<Instant>, time| {
-            at.is_some_and(|at| now.saturating_duration_since(at) < time)
-        };
-        let is_certain = !is_asked(now, call)
-            && self.started.is_some()
-            && !is_within(self.started, LIFETIME)
-            && is_within(self.directory_read, MAX_DIRECTORY_AGE);
+    /// The version of all upstreams of a service, for a caller that does not name its
+    /// stream: it goes on at any of them.
+    ///
+    /// It proves nothing of a stream that is named: upstreams of another version may have
+    /// begun it that this instance has not heard of.
+    fn only_release(&self, call: &Call) -> Option<id::Release> {
         let release = self.streams.only_release(&call.service);
-        release.filter(|_| call.stream.is_none() || is_certain)
+        release.filter(|_| call.stream.is_none())
     }
 }
 
--- a/crates/core/tests/entry/resumptions.rs
+++ b/crates/core/tests/entry/resumptions.rs
@@ -1,16 +1,17 @@
 //! Streams that callers resume at other instances go on only at the software version
 //! that began them, and half or more of them go on.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rosemarypond_core::entry::baseline::{Baseline, Read};
-use rosemarypond_core::entry::call::{Call, Origin, Reason};
+use rosemarypond_core::entry::call::{Call, Origin, Reason, Repeat};
 use rosemarypond_core::entry::gossip::Begun;
 use rosemarypond_core::entry::scheduler::Event;
-use rosemarypond_core::entry::watermark::Era;
+use rosemarypond_core::entry::watermark::{Era, Watermark};
 use rosemarypond_core::id;
 
-use crate::network::{LARGE, MEDIUM, Network, SMALL, Size, Store, Tally};
+use crate::network::{LARGE, MEDIUM, Network, SMALL, Size, Store, Tally, plan};
 use crate::site::{Site, cases, ms, name, refusals, sends};
 
 /// How many streams begin and break off together.
@@ -159,6 +160,29 @@
     assert_eq!(refused, [(1, Reason::UnknownStream)]);
 }
 
+/// An instance that hears neither the store nor its peers' answers has seen one version
+/// for a minute. Others have begun streams at one that has just joined.
+fn out_of_step(mut site: Site) {
+    site.handle(Event::Configured(Arc::new(plan())));
+    site.register("e1", 4);
+    for second in 0..70 {
+        let directory_at = Duration::from_secs(second);
+        site.handle(Event::StoreRead(Watermark { directory_at, ..Watermark::default() }));
+        (0..50).for_each(|_| drop(site.advance(ms(20))));
+    }
+    let resumed = |id, call| Call {
+        stream: Some(id::Stream(id)),
+        origin: Origin::Unknown,
+        repeat: Repeat::Resumable,
+        ..call
+    };
+    let call = resumed(1, site.call(1));
+    let mut actions = site.arrive(call);
+    (0..100).for_each(|_| actions.extend(site.advance(ms(20))));
+    assert_eq!(sends(&actions), []);
+    assert_eq!(refusals(&actions), [(1, Reason::UnknownStream)]);
+}
+
 /// Nothing is recorded of streams of the only version.
 fn only_version(_site: Site) {
     let mut network = Network::new(Size { engines: 1, ..SMALL }, 0);
@@ -184,6 +208,8 @@
         |_| in_own_zone(LARGE, 1, Trouble::Instances, 0.0);
     streams_are_resumed_where_gossip_is_lost =>
         |_| in_own_zone(SMALL, 3, Trouble::Instances, 0.3);
+    /// Guards against streams that go on at the only version that an instance knows.
+    stream_is_not_resumed_at_an_instance_that_is_out_of_step => out_of_step;
     streams_of_another_zone_are_resumed_at_no_other_version => in_other_zone;
     streams_that_nobody_knows_are_not_resumed => |_| restart_of_all(SMALL, 0, false);
     streams_are_resumed_after_6_instances_restarted => |_| restart_of_all(SMALL, 1, true);
