Keep a connection only after an answer that names the request

Reported from another system: a faulty engine wrote an earlier rejection once more on a kept connection. It can happen here: rejections name no request, so that the copy counted as the answer to the next request on the connection. Callers were told "not run" for what an engine ran, or a non-idempotent request ran at two.

Evidence: answers rejection_that_is_repeated_is_no_answer_to_the_next_request and request_after_a_repeated_rejection_runs_once failed before ("r2 was refused as not run, left: 1, right: 0"; left: 2). Ruled out: copies that name another request, which were invalid before, and copies on idle connections, which close them.

Why it works: after an answer that names no request its connection is closed, so that no second copy of it can meet a later request.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -179,6 +179,9 @@
     pub write_peer_head: fn(&http::request::Parts, &Rest<'_>) -> http::request::Parts,
     /// Classifies the head of an upstream's response to the caller's `request`.
     pub classify: fn(&http::response::Parts, request: &str) -> Meaning,
+    /// Whether the head of an upstream's response names the caller's `request`. A copy of
+    /// one that names none cannot be told from the next response on its connection.
+    pub names_request: fn(&http::response::Parts, request: &str) -> bool,
     /// Reads what the head of an upstream's response says about the upstream.
     pub read_notice: fn(&http::response::Parts) -> Notice,
     /// Writes the head of the response to the caller from that of an upstream's
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -321,25 +321,35 @@
     }
 
     /// Keeps a connection if the rest of a response that is not needed comes soon.
-    pub async fn keep_after(
+    async fn keep_after(
         &self,
         connection: Connection,
         parts: &http::response::Parts,
         body: Incoming,
     ) {
-        let mut memory = Memory::new(&self.gateway.metrics.held_response_bytes);
-        let rest = timeout(REJECTION_TIMEOUT, read_body(body, &mut memory));
-        if let Ok(Ok(_)) = rest.await {
+        if self.skip_body(body).await {
             self.keep(connection, parts);
         }
     }
 
-    /// Keeps a connection whose response was read to its end, unless the upstream
-    /// is leaving, or has answered before the request was written.
+    /// Reads the rest of a response that is not needed; returns whether it came soon.
+    pub async fn skip_body(&self, body: Incoming) -> bool {
+        let mut memory = Memory::new(&self.gateway.metrics.held_response_bytes);
+        let rest = timeout(REJECTION_TIMEOUT, read_body(body, &mut memory));
+        matches!(rest.await, Ok(Ok(_)))
+    }
+
+    /// Keeps a connection whose response was read to its end, unless the upstream is
+    /// leaving, has answered before the request was written, or may repeat the response
+    /// as if it were the next one.
     pub fn keep(&self, connection: Connection, parts: &http::response::Parts) {
         if connection.is_writing() {
             self.record_early_answer();
-        } else if !(self.gateway.dialect.read_notice)(parts).is_leaving {
+            return;
+        }
+        let dialect = &self.gateway.dialect;
+        let is_named = (dialect.names_request)(parts, &self.head.request);
+        if is_named && !(dialect.read_notice)(parts).is_leaving {
             self.gateway.pool.keep(connection, parts);
         } else {
             connection.mark_idle();
--- a/crates/edge/src/report.rs
+++ b/crates/edge/src/report.rs
@@ -27,7 +27,10 @@
         parts: &http::response::Parts,
         body: Incoming,
     ) -> Outcome {
-        self.keep_after(connection, parts, body).await;
+        // A peer answers each request once, and its own answers name none.
+        if self.skip_body(body).await {
+            self.gateway.pool.keep(connection, parts);
+        }
         match unanswered {
             Unanswered::Ended(Ended::Broken) => self.broken(),
             Unanswered::Ended(how) => Outcome::Failed(how, None),
