Decide a request by the configuration whose proof is asked for

The plan was taken with the head, and the proof that it is current was asked for after the body, when another plan was in force. Now the plan is taken after the body, in one step with its proof.

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -265,6 +265,11 @@
         self.plan.borrow().as_ref().map(|p| p.limits).unwrap_or_default()
     }
 
+    /// The plan in force.
+    fn plan_in_force(&self) -> Result<Arc<Plan>, Refusal> {
+        self.plan.borrow().clone().ok_or_else(|| not_ready(Reason::NoPlan))
+    }
+
     /// Whether the plan in force is known to be current, as far as `proof_limit`
     /// requires it.
     fn is_plan_current(&self) -> bool {
@@ -346,14 +351,14 @@
         order: Option<&Order>,
     ) -> Result<Exchange, Refusal> {
         let arrived = clock::now();
-        let plan = self.plan.borrow().clone();
-        let plan = plan.ok_or_else(|| not_ready(Reason::NoPlan))?;
+        let limits = self.plan_in_force()?.limits;
         let mut memory = Memory::new(&self.metrics.held_body_bytes);
         // An unread body would leave the connection unusable, so it is read before
         // the request is authorized.
-        let body = read_body(body, plan.limits.body_bytes, &mut memory);
-        let body =
-            timeout(plan.limits.idle_timeout, body).await.unwrap_or(Err(Refusal::BodyTimeout))?;
+        let body = read_body(body, limits.body_bytes, &mut memory);
+        let body = timeout(limits.idle_timeout, body).await.unwrap_or(Err(Refusal::BodyTimeout))?;
+        // The plan that is now proved to be current, which may be newer than the head.
+        let plan = self.plan_in_force()?;
         let found = plan.resolve(&head.host, parts.uri.path(), head.credential.as_deref());
         let found = found.map_err(|denial| self.refusal_for(denial))?;
         if head.credential.is_some() && !found.route.is_public && !self.is_plan_current() {
