--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -24,6 +24,8 @@
 
 /// How long an idle connection is kept where its upstream states no timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// No idle connection is kept for longer, whatever its upstream states.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// An idle connection is closed this long before its upstream would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
 /// The most idle connections to one upstream.
@@ -249,6 +251,7 @@
     }
 
     fn put(&self, connection: Connection, idle_timeout: Duration) {
+        let idle_timeout = idle_timeout.min(MAX_IDLE_TIMEOUT);
         let expires_at = clock::now() + idle_timeout.saturating_sub(IDLE_MARGIN);
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(connection.address).or_default();
