Pass no event on whose id cannot be read, and read ids beside spoiled bytes

Its id was looked for in the whole event as text; the event was passed on without one, not counted, and sent again by the engine that resumed the stream.

The id is read from its own line. On a route whose streams may be resumed an event without one is not passed on, and the stream goes on after the last event that was; comments pass.

--- a/crates/edge/src/event_stream.rs
+++ b/crates/edge/src/event_stream.rs
@@ -14,6 +14,14 @@
     pub id: Option<String>,
 }
 
+impl Event {
+    /// Whether it is a comment only, which has no id.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| line.trim_ascii().is_empty() || line.starts_with(b":"))
+    }
+}
+
 /// Splits received bytes into whole events.
 ///
 /// ```
@@ -73,8 +81,9 @@
     }
 }
 
+/// The id that an event states; bytes elsewhere in it need not be text.
 fn id_of(event: &[u8]) -> Option<String> {
-    let text = std::str::from_utf8(event).ok()?;
-    let line = text.lines().find_map(|line| line.strip_prefix("id:"))?;
-    Some(line.trim().to_owned())
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    Some(std::str::from_utf8(id).ok()?.trim().to_owned())
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -42,6 +42,8 @@
     last_id: Option<String>,
     /// Whether the stream was resumed, so that an upstream may repeat events.
     is_resumed: bool,
+    /// Whether the stream may be resumed.
+    is_resumable: bool,
 }
 
 impl Progress {
@@ -50,8 +52,13 @@
     ///
     /// # Errors
     ///
-    /// Where the ids show a gap, or a repetition without a resumption.
+    /// Where the ids show a gap, or a repetition without a resumption; and where an event
+    /// of a resumable stream has no id that can be read, as the stream could not go on
+    /// after it.
     fn accepts(&self, event: &Event) -> Result<bool, Broken> {
+        if self.is_resumable && event.id.is_none() && !event.is_comment() {
+            return Err(Broken);
+        }
         let number = |id: &Option<String>| id.as_deref().and_then(|id| id.parse::<u64>().ok());
         let (Some(last), Some(next)) = (number(&self.last_id), number(&event.id)) else {
             return Ok(true);
@@ -92,6 +99,7 @@
         let mut progress = Progress {
             last_id: self.head.resume_after.clone(),
             is_resumed: self.head.resume_after.is_some(),
+            is_resumable: self.call.repeat == Repeat::Resumable,
             ..Progress::default()
         };
         let mut next = Some((stream, target));
