--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -178,6 +178,8 @@
     Memory,
     /// It, or a part of its prompt, crashes upstreams.
     Quarantined,
+    /// Its instance is about to end.
+    Stopping,
     /// It resumes a stream, and nobody knows which software version began it.
     UnknownStream,
 }
@@ -199,6 +201,7 @@
             Reason::NoPlan => "no-plan",
             Reason::Memory => "memory",
             Reason::Quarantined => "quarantined",
+            Reason::Stopping => "stopping",
             Reason::UnknownStream => "unknown-stream",
         }
     }
--- a/crates/core/src/entry/scheduler/event.rs
+++ b/crates/core/src/entry/scheduler/event.rs
@@ -85,6 +85,8 @@
     Received(Gossip),
     /// The instance is shutting down; peers are informed.
     Stop,
+    /// The instance is about to end: what waits, and what would wait, is refused.
+    Close,
     /// [`super::TICK_INTERVAL`] has passed.
     Tick,
 }
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -112,6 +112,8 @@
     /// Whether there is a change that was not sent to peers.
     has_changes: bool,
     is_stopping: bool,
+    /// Whether nothing may wait any more.
+    is_closed: bool,
     actions: Vec<Action>,
 }
 
@@ -144,6 +146,7 @@
             last_turns: None,
             has_changes: false,
             is_stopping: false,
+            is_closed: false,
             actions: Vec::new(),
         }
     }
@@ -194,6 +197,7 @@
             Event::StoreRead(watermark) => self.update_watermark(&watermark),
             Event::Received(gossip) => self.received(now, gossip),
             Event::Stop => self.stop(now),
+            Event::Close => self.close(now),
             Event::Tick => self.tick(now),
         }
     }
@@ -283,6 +287,9 @@
         let waiting = Waiting { call: held.call.clone(), excluded: held.excluded.clone() };
         self.backlog.push(waiting);
         self.dispatch_waiting(now);
+        if self.is_closed {
+            self.refuse_waiting(now);
+        }
     }
 
     fn upstream_leaving(&mut self, leaving: gossip::Leaving) {
@@ -368,4 +375,9 @@
         self.last_other_zones_gossip = None;
         self.gossip(now);
     }
+
+    fn close(&mut self, now: Instant) {
+        self.is_closed = true;
+        self.refuse_waiting(now);
+    }
 }
--- a/crates/core/src/entry/scheduler/refusals.rs
+++ b/crates/core/src/entry/scheduler/refusals.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// Refuses all waiting requests, as the instance is about to end.
+    pub(super) fn refuse_waiting(&mut self, now: Instant) {
+        let waiting: Vec<_> = self.backlog.iter().map(|waiting| waiting.call.id).collect();
+        for id in waiting {
+            self.refuse(now, id, Reason::Stopping);
+        }
+    }
+
     /// Refuses waiting requests whose upstreams all asked for a pause that ends
     /// too late for them.
     fn refuse_paused(&mut self, now: Instant) {
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -250,6 +250,11 @@
         self.handle.event(Event::Stop);
     }
 
+    /// Refuses what still waits, as the instance is about to end.
+    pub fn close(&self) {
+        self.handle.event(Event::Close);
+    }
+
     /// Whether the instance is stopping.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.get()
