Have no peer carry out a request by an older configuration

Cause: the peer resolved them by its own plan, which counts as current for 4 s. Evidence: paths request_is_not_delegated_to_an_older_configuration failed before (left: (200, 1), right: (503, 0)).

An order names the version by which its request was admitted; a peer with an older one declines, as not run. Orders of the build before name none, and that build passes over the field (wire builds).

--- a/crates/edge/src/delegation.rs
+++ b/crates/edge/src/delegation.rs
@@ -7,6 +7,7 @@
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use prost::Message;
+use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::call::{Call, Delegation, Origin};
 use rosemarypond_core::entry::upstream::Registration;
 use rosemarypond_core::id;
@@ -28,6 +29,9 @@
     pub stream: Option<id::Stream>,
     /// Upstreams on which an attempt failed.
     pub excluded: Vec<id::Upstream>,
+    /// The version of the plan by which the sender admitted it; who has an older one must
+    /// not carry it out.
+    pub plan: Version,
 }
 
 /// How a delegated request ended.
@@ -54,8 +58,14 @@
 
 impl Order {
     /// The order for a request of this instance.
-    pub fn new(call: &Call, origin: Origin, excluded: Vec<id::Upstream>, age: Duration) -> Self {
-        Self { age, origin, stream: call.stream, excluded }
+    pub fn new(
+        call: &Call,
+        plan: Version,
+        origin: Origin,
+        excluded: Vec<id::Upstream>,
+        age: Duration,
+    ) -> Self {
+        Self { age, origin, stream: call.stream, excluded, plan }
     }
 
     /// Adds the order to the headers of a request.
@@ -70,6 +80,7 @@
             release,
             stream: self.stream.map(|stream| stream.0),
             excluded: self.excluded.iter().map(|upstream| upstream.to_string()).collect(),
+            plan: self.plan.0,
         };
         headers.insert(ORDER, encode(&order));
     }
@@ -85,6 +96,7 @@
             origin: release.map_or(Origin::Fresh, Origin::Release),
             stream: order.stream.map(id::Stream),
             excluded: excluded.ok()?,
+            plan: Version(order.plan),
         })
     }
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response, http};
+use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::call::{Call, Ended, Reason, Repeat};
 use rosemarypond_core::entry::plan::{Route, Team};
 use rosemarypond_core::entry::upstream::Registration;
@@ -59,6 +60,8 @@
     pub head: Head,
     /// The whole body.
     pub body: Bytes,
+    /// The version of the plan by which it was admitted.
+    pub plan: Version,
     /// Its route.
     pub route: Arc<Route>,
     /// Its team.
@@ -406,7 +409,8 @@
                 let rest = Rest { time_left, resume_after, body_bytes };
                 let mut parts = (dialect.write_peer_head)(&self.parts, &rest);
                 let age = clock::now().saturating_duration_since(self.call.arrived);
-                let order = Order::new(&self.call, origin.clone(), excluded.clone(), age);
+                let (origin, excluded) = (origin.clone(), excluded.clone());
+                let order = Order::new(&self.call, self.plan, origin, excluded, age);
                 order.write(&mut parts.headers);
                 parts
             }
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -364,6 +364,9 @@
         let body = timeout(limits.idle_timeout, body).await.unwrap_or(Err(Refusal::BodyTimeout))?;
         // The plan that is now proved to be current, which may be newer than the head.
         let plan = self.plan_in_force()?;
+        if order.is_some_and(|order| order.plan > plan.version) {
+            return Err(not_ready(Reason::Stale));
+        }
         let found = plan.resolve(&head.host, parts.uri.path(), head.credential.as_deref());
         let found = found.map_err(|denial| self.refusal_for(denial))?;
         if head.credential.is_some() && !found.route.is_public && !self.is_plan_current() {
@@ -385,6 +388,7 @@
             parts,
             head,
             body,
+            plan: plan.version,
             route,
             team,
             call,
--- a/crates/wire/tests/builds.rs
+++ b/crates/wire/tests/builds.rs
@@ -80,6 +80,8 @@
         release: Some("v1".into()),
         stream: Some(2),
         excluded: vec!["e1".into(), "e2".into()],
+        // That build does not know it.
+        plan: 0,
     }
 }
 
