--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -11,7 +11,6 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::{Request, Response, http};
-use prometheus_client::metrics::gauge::Gauge;
 use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::call::{Call, Origin, Reason, Repeat};
 use rosemarypond_core::entry::gossip::Leaving;
@@ -32,6 +31,7 @@
 use crate::dialect::{Dialect, Head, Refusal};
 use crate::exchange::Exchange;
 use crate::gossip::Peers;
+use crate::memory::{Exhausted, Memory};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::reply::{self, Reply};
@@ -41,9 +41,6 @@
 /// How long a caller is asked to wait before a retry where the instance itself
 /// is not ready.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// The most memory for the bodies of requests, or of responses, at once, in bytes.
-const MAX_HELD_BODY_BYTES: i64 = 64 << 20;
-
 /// The options of a gateway.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -78,46 +75,6 @@
     is_stopping: Cell<bool>,
 }
 
-/// Memory reserved for a body, until it is dropped.
-pub struct Memory {
-    /// The bytes that all bodies of this kind hold.
-    held: Gauge,
-    bytes: usize,
-}
-
-/// The memory for bodies is used up.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("The memory for bodies is used up.")]
-pub struct Exhausted;
-
-impl Memory {
-    /// No memory yet, of what `held` counts.
-    pub fn new(held: &Gauge) -> Self {
-        Self { held: held.clone(), bytes: 0 }
-    }
-
-    /// Reserves more memory.
-    ///
-    /// # Errors
-    ///
-    /// Where all bodies together would hold too much.
-    pub fn reserve(&mut self, bytes: usize) -> Result<(), Exhausted> {
-        let held = self.held.get() + bytes as i64;
-        if held > MAX_HELD_BODY_BYTES {
-            return Err(Exhausted);
-        }
-        self.held.set(held);
-        self.bytes += bytes;
-        Ok(())
-    }
-}
-
-impl Drop for Memory {
-    fn drop(&mut self) {
-        self.held.dec_by(self.bytes as i64);
-    }
-}
-
 fn not_ready(reason: Reason) -> Refusal {
     Refusal::NotRun { reason, retry_after: NOT_READY_RETRY_AFTER }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod gateway;
 pub mod gossip;
 pub mod log;
+pub mod memory;
 pub mod metrics;
 mod notice;
 pub mod pool;
