--- a/crates/core/src/entry/streams.rs
+++ b/crates/core/src/entry/streams.rs
@@ -3,7 +3,8 @@
 //! A stream may be resumed only at the version that began it, which upstreams do not
 //! check, and its caller may resume it at any instance. Each instance therefore tells
 //! its peers which version began a stream, and asks them about one that it does not
-//! know. What nobody knows is certain only where there was one version all the while.
+//! know. What peers do not know is for the shared store to tell; see
+//! [`baseline`](super::baseline).
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
