Pass over a service's waiting requests once none of its upstreams has room

A pass over the backlog runs with each message of a peer, and scanned all upstreams for each of 64 requests. One request without restrictions that finds no room shows that the others of its service find none either.

--- a/crates/core/src/entry/backlog.rs
+++ b/crates/core/src/entry/backlog.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use super::call::Call;
+use super::call::{Call, Origin};
 use crate::id;
 
 /// A request that waits.
@@ -21,6 +21,13 @@
     pub excluded: Vec<id::Upstream>,
 }
 
+impl Waiting {
+    /// Whether any upstream of its service may take it.
+    pub fn is_unrestricted(&self) -> bool {
+        self.excluded.is_empty() && self.call.origin == Origin::Fresh
+    }
+}
+
 /// The requests that wait.
 #[derive(Debug, Default)]
 pub struct Backlog {
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -44,8 +44,10 @@
     /// Send it to this upstream, whose first byte or event is expected after
     /// this time.
     Send(id::Upstream, Duration),
-    /// Let it wait.
+    /// Let it wait, as an upstream that is full now suits it better than those with room.
     Wait,
+    /// Let it wait, as no upstream that could take it has room.
+    Full,
     /// No upstream that could take it is known.
     NoUpstream,
 }
@@ -174,7 +176,7 @@
             }
         }
         let Some((estimate, upstream)) = best else {
-            return if is_any_open { Choice::Wait } else { Choice::NoUpstream };
+            return if is_any_open { Choice::Full } else { Choice::NoUpstream };
         };
         let is_late = now + estimate.first > call.latency_target;
         let could_be_in_time = fastest_full.is_some_and(|first| now + first < call.latency_target);
--- a/crates/core/src/entry/scheduler/delegations.rs
+++ b/crates/core/src/entry/scheduler/delegations.rs
@@ -31,7 +31,7 @@
         match choice {
             Choice::NoUpstream => true,
             _ if held.unsent >= MAX_OWN_UNSENT_ATTEMPTS => true,
-            Choice::Wait => reach.is_small(),
+            Choice::Wait | Choice::Full => reach.is_small(),
             Choice::Send(..) => false,
         }
     }
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -311,17 +311,36 @@
     }
 
     /// Sends waiting requests to upstreams that have room.
+    ///
+    /// This runs with each message of a peer, when hundreds of requests may wait: once no
+    /// upstream of a service has room, its other requests are passed over.
     fn dispatch_waiting(&mut self, now: Instant) {
         if self.backlog.is_empty() {
             return;
         }
         let visibility = self.visibility();
         let reaches = self.fleet.partial_reaches();
-        for id in self.backlog.dispatch_order(now).into_iter().take(CANDIDATES_PER_PASS) {
+        let mut full: Vec<(id::Service, bool)> = vec![];
+        let mut candidates = 0;
+        for id in self.backlog.dispatch_order(now) {
             let Some(waiting) = self.backlog.get(id) else { continue };
             let Some(held) = self.held.get(&id) else { continue };
-            let choice = self.fleet.choose(&waiting.call, &waiting.excluded, visibility, now);
             let own = reaches.get(&held.call.service);
+            let is_plain = waiting.call.prompt.0 == 0;
+            let is_full = |(service, plain): &(id::Service, bool)| {
+                *service == waiting.call.service && *plain == is_plain
+            };
+            if own.is_none() && full.iter().any(is_full) {
+                continue;
+            }
+            candidates += 1;
+            if candidates > CANDIDATES_PER_PASS {
+                break;
+            }
+            let choice = self.fleet.choose(&waiting.call, &waiting.excluded, visibility, now);
+            if choice == Choice::Full && waiting.is_unrestricted() {
+                full.push((waiting.call.service.clone(), is_plain));
+            }
             if let Some(peer) = self.delegate_for(now, held, &choice, own) {
                 self.delegate(id, peer);
                 continue;
