Keep passes over the backlog cheap while some upstreams cannot be reached

What is full is now found once a pass, and the delegated requests are counted once a decision. Requests that may not use all upstreams are still evaluated one by one.

--- a/crates/core/src/entry/scheduler/delegations.rs
+++ b/crates/core/src/entry/scheduler/delegations.rs
@@ -6,6 +6,7 @@
 //! to the peer with the fewest of them; this instance keeps counting attempts, retries,
 //! quotas and time.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use super::{Action, Held, Scheduler};
@@ -71,16 +72,25 @@
             let reach = peer.reaches.get(service).copied().unwrap_or(u32::MAX);
             is_heard(&peer.zone) && !peer.is_silent && !peer.leaving && reach > own.slots
         });
-        let order = |peer: &id::Instance| {
-            let delegated = self.held.values().filter(|h| h.delegate.as_ref() == Some(peer));
-            (delegated.count(), stable_hash((peer.as_str(), *id)))
-        };
+        let delegated = self.delegated();
+        let order =
+            |peer: &id::Instance| (delegated.get(peer).copied(), stable_hash((peer.as_str(), *id)));
         let peers = peers.map(|(peer, _)| peer).filter(|peer| is_usable(peer));
         let others = || self.zones.relays(now).filter(|peer| is_usable(peer));
         let best = peers.min_by_key(|peer| order(peer));
         best.or_else(|| others().min_by_key(|peer| order(peer))).cloned()
     }
 
+    /// How many requests each peer carries out for this instance; peers without any are
+    /// left out.
+    fn delegated(&self) -> HashMap<&id::Instance, usize> {
+        let mut delegated = HashMap::new();
+        for peer in self.held.values().filter_map(|held| held.delegate.as_ref()) {
+            *delegated.entry(peer).or_default() += 1;
+        }
+        delegated
+    }
+
     /// Delegates a request for one attempt.
     pub(super) fn delegate(&mut self, id: id::Request, peer: id::Instance) {
         self.backlog.remove(id);
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -330,15 +330,20 @@
             let is_full = |(service, plain): &(id::Service, bool)| {
                 *service == waiting.call.service && *plain == is_plain
             };
-            if own.is_none() && full.iter().any(is_full) {
+            let is_full = waiting.is_unrestricted() && full.iter().any(is_full);
+            if own.is_none() && is_full {
                 continue;
             }
             candidates += 1;
             if candidates > CANDIDATES_PER_PASS {
                 break;
             }
-            let choice = self.fleet.choose(&waiting.call, &waiting.excluded, visibility, now);
-            if choice == Choice::Full && waiting.is_unrestricted() {
+            let choice = if is_full {
+                Choice::Full
+            } else {
+                self.fleet.choose(&waiting.call, &waiting.excluded, visibility, now)
+            };
+            if choice == Choice::Full && waiting.is_unrestricted() && !is_full {
                 full.push((waiting.call.service.clone(), is_plain));
             }
             if let Some(peer) = self.delegate_for(now, held, &choice, own) {
