--- a/crates/daemon/src/operate/query.rs
+++ b/crates/daemon/src/operate/query.rs
@@ -251,15 +251,17 @@
             rows.reverse();
         }
     } else if query.table == Table::Timeline {
-        rows.sort_by_key(stamp_of);
+        rows.sort_by_key(timeline_order);
     }
     rows.truncate(query.limit.unwrap_or(usize::MAX));
     rows
 }
 
-fn stamp_of(row: &Row) -> Stamp {
-    let text = row.get("stamp").and_then(Value::as_str).unwrap_or_default();
-    text.parse().unwrap_or_default()
+/// Events of instances that had not heard of each other may have the same timestamp; the
+/// name of the instance orders these.
+fn timeline_order(row: &Row) -> (Stamp, String) {
+    let text = |key| row.get(key).and_then(Value::as_str).unwrap_or_default();
+    (text("stamp").parse().unwrap_or_default(), text("instance").to_owned())
 }
 
 fn matches(row: &Row, filter: &Filter) -> bool {
