Tell peers of an upstream that was replaced, and try reopened paths one request at a time

Crashed engines come back at their address under another id, while the directory lists the old one for seconds. An instance now reports the incarnation that is gone like one that is leaving, and an upstream that could not be reached gets one request at a time until it answers. The three tests failed before the change.

--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -243,7 +243,7 @@
     /// service that could not be reached probed soon.
     pub fn record_reached(&mut self, id: &id::Upstream, now: Instant) {
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
-        upstream.path.record_answer();
+        upstream.path.record_opened();
         let service = upstream.registration.service.clone();
         self.failures.clear(&service);
         for other in self.upstreams.values_mut() {
@@ -450,13 +450,6 @@
         first
     }
 
-    /// Marks an upstream as leaving until its registration is updated.
-    pub fn set_leaving(&mut self, id: &id::Upstream) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.registration.leaving = true;
-        }
-    }
-
     /// Replaces the loads of a peer.
     pub fn update_peer(&mut self, from: &id::Instance, loads: &[gossip::Load], now: Instant) {
         self.remove_peer(from);
--- a/crates/core/src/entry/scheduler/attempts.rs
+++ b/crates/core/src/entry/scheduler/attempts.rs
@@ -5,6 +5,7 @@
 use super::Scheduler;
 use crate::entry::call::{Ended, Reason};
 use crate::entry::fleet::Choice;
+use crate::entry::gossip::Leaving;
 use crate::id;
 
 /// A request is refused after this many attempts that sent nothing.
@@ -39,6 +40,9 @@
                 Ended::Whole { tokens } => Some(tokens),
                 _ => None,
             };
+            if how == (Ended::NotRun { misdirected: true }) {
+                self.record_replaced(id, &upstream);
+            }
             self.fleet.record_ended(&upstream, id, tokens, now);
             self.record_upstream_outcome(now, &upstream, how);
             // An upstream that could not be reached is paused, not excluded.
@@ -70,16 +74,25 @@
     fn record_upstream_outcome(&mut self, now: Instant, upstream: &id::Upstream, how: Ended) {
         match how {
             Ended::Whole { .. } => self.fleet.record_outcome(upstream, false, now),
-            Ended::NotRun { misdirected: true } => self.fleet.set_leaving(upstream),
             Ended::NotSent => self.fleet.record_unreached(upstream, now),
-            Ended::NotRun { .. } => {
+            Ended::NotRun { misdirected: false } => {
                 self.fleet.record_outcome(upstream, true, now);
                 self.fleet.record_rejection(upstream, now);
             }
             Ended::Failed | Ended::Broken | Ended::Cut | Ended::TimedOut => {
                 self.fleet.record_outcome(upstream, true, now);
             }
-            Ended::Abandoned | Ended::Declined { .. } => {}
+            Ended::NotRun { misdirected: true } | Ended::Abandoned | Ended::Declined { .. } => {}
+        }
+    }
+
+    /// Records that another upstream has the address of the one that a request was sent to,
+    /// and tells peers: the directory may list the one that is gone for seconds, and it
+    /// looks idle to each of them.
+    fn record_replaced(&mut self, id: id::Request, upstream: &id::Upstream) {
+        let known = self.fleet.get(upstream).and_then(|u| u.incarnation_of(id));
+        if let Some(incarnation) = known {
+            self.upstream_leaving(Leaving { upstream: upstream.clone(), incarnation });
         }
     }
 
--- a/crates/core/src/entry/upstream.rs
+++ b/crates/core/src/entry/upstream.rs
@@ -90,6 +90,8 @@
 /// An attempt of this instance that runs on an upstream.
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
+    /// The incarnation of the upstream that it was sent to.
+    incarnation: u64,
     started: Instant,
     prompt: Tokens,
     /// Prompt tokens that were to be processed up to and including this request.
@@ -197,6 +199,9 @@
     /// are received. Outside a full mesh, each instance therefore uses an equal
     /// share of its slots and its queue instead.
     pub(super) fn has_room(&self, call: &Call, visibility: Visibility) -> bool {
+        if self.path.is_trial() && self.own_running() > 0 {
+            return false;
+        }
         if let Some(share) = self.rejection_limit.share() {
             return self.own_running() < share && self.running() < self.registration.slots;
         }
@@ -217,6 +222,11 @@
         self.running.get(&request).map(|attempt| attempt.started)
     }
 
+    /// The incarnation to which a request that runs on it was sent.
+    pub(super) fn incarnation_of(&self, request: id::Request) -> Option<u64> {
+        self.running.get(&request).map(|attempt| attempt.incarnation)
+    }
+
     fn own_prefill(&self) -> u32 {
         let prompts = self.running.values().filter(|r| r.first.is_none()).map(|r| r.prompt.0);
         prompts.fold(0, u32::saturating_add)
@@ -341,7 +351,8 @@
     /// Records that a request was sent.
     pub(super) fn record_sent(&mut self, call: &Call, now: Instant) {
         let work = Tokens(self.prefill().saturating_add(call.prompt.0));
-        let attempt = Attempt { started: now, prompt: call.prompt, work, first: None };
+        let incarnation = self.registration.incarnation;
+        let attempt = Attempt { incarnation, started: now, prompt: call.prompt, work, first: None };
         self.running.insert(call.id, attempt);
         self.sent += 1;
         if let Some(limit) = &mut self.limit {
--- a/crates/core/tests/entry/placement.rs
+++ b/crates/core/tests/entry/placement.rs
@@ -61,6 +61,48 @@
     assert!(sends(&site.arrive(call)).is_empty());
 }
 
+/// An engine restarts at its old address under another id, and the directory lists the old
+/// one for seconds. Guards against each instance sending it requests of its own, which all
+/// use up an attempt.
+fn replaced_upstream_is_told_to_peers(mut site: Site) {
+    site.register("e1", 4);
+    let call = site.call(1);
+    site.arrive(call);
+    site.end(1, Ended::NotRun { misdirected: true });
+    let known: Vec<_> = site.scheduler.fleet().leaving().cloned().collect();
+    assert_eq!(known, [Leaving { upstream: name("e1"), incarnation: 1 }]);
+}
+
+/// The answer belongs to a request that was sent to the incarnation before. Guards against
+/// taking a restarted upstream out of use.
+fn restarted_upstream_is_not_taken_for_replaced(mut site: Site) {
+    site.register("e1", 4);
+    let call = site.call(1);
+    site.arrive(call);
+    site.handle(Event::Registered(Registration { incarnation: 2, ..registration("e1", 4) }));
+    site.end(1, Ended::NotRun { misdirected: true });
+    let call = site.call(2);
+    assert_eq!(sends(&site.arrive(call)).len(), 1);
+}
+
+/// A connection to an engine that could not be reached is opened again. Guards against all
+/// waiting requests being sent to what may be another engine by now.
+fn reopened_upstream_gets_one_request(mut site: Site) {
+    site.register("e1", 4);
+    let call = site.call(1);
+    site.arrive(call);
+    site.end(1, Ended::NotSent);
+    for id in 2..6 {
+        let call = site.call(id);
+        site.arrive(call);
+    }
+    let opened = Event::Probed { upstream: name("e1"), is_reached: true };
+    let sent = sends(&site.handle(opened));
+    assert_eq!(sent.len(), 1);
+    site.handle(Event::FirstByte(id::Request(sent[0].0)));
+    assert_eq!(sends(&site.advance(ms(20))).len(), 3);
+}
+
 fn leaving_upstream_gets_nothing(mut site: Site) {
     site.register("e1", 4);
     site.handle(Event::Registered(Registration { leaving: true, ..registration("e1", 4) }));
@@ -358,6 +400,9 @@
     rejected_request_stays_within_its_attempts => rejected_stays_within_its_attempts;
     idempotent_request_is_retried => idempotent_is_retried;
     misdirected_upstream_gets_no_requests => misdirected_upstream_gets_nothing;
+    replaced_upstream_is_reported_to_peers => replaced_upstream_is_told_to_peers;
+    restarted_upstream_stays_in_use => restarted_upstream_is_not_taken_for_replaced;
+    reopened_upstream_gets_one_request_at_a_time => reopened_upstream_gets_one_request;
     leaving_and_deregistered_upstreams_get_no_requests => leaving_upstream_gets_nothing;
     burst_of_quick_questions_does_not_delay_long_work => urgent_work_goes_first;
     late_request_waits_for_one_still_in_time => late_request_waits;
