Estimate the lasting speed of engines apart from how slow they are at the moment

One first token that came late (a queue in the engine, a slow period of 0.6 s, a peer's estimate that was adopted whole in each of its messages) was taken for the engine's time per prompt token; estimates reached 7 s for engines whose usual time is 50 to 200 ms.

An observation now moves the lasting estimate by a limited factor, a peer's estimate counts once per new observation, and an engine that is not observed drifts to what is typical of its service.

--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -381,6 +381,7 @@
         self.resolve_origins(now);
         self.review_baselines(now);
         self.update_turns(now);
+        self.fleet.review_speeds(now);
         self.probe(now);
         self.expire(now);
         self.dispatch_waiting(now);
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -336,7 +336,7 @@
             age,
             sequence: self.sequence,
             leaving: self.is_stopping,
-            loads: if has_loads { self.fleet.loads() } else { vec![] },
+            loads: if has_loads { self.fleet.loads(now) } else { vec![] },
             admitted: self.quota.admitted().map(|(t, c)| (t.clone(), c)).collect(),
             digest: (audience == Audience::OtherZones).then(|| self.digest()),
             leaving_upstreams: self.fleet.leaving().cloned().collect(),
--- a/crates/core/src/entry/upstream.rs
+++ b/crates/core/src/entry/upstream.rs
@@ -11,6 +11,7 @@
 use super::pace::Pace;
 use super::reach::Path;
 use super::rejection;
+use super::slowdown::{self, Observation, Slowdown};
 use crate::hash::stable_hash;
 use crate::id;
 use crate::unit::{RequestRate, Tokens};
@@ -33,6 +34,10 @@
 /// The time in which the failure rate halves without new outcomes, so that a
 /// failing upstream is used again from time to time.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
+/// An upstream that was not observed for this long drifts towards the typical speed ...
+const OBSERVED_TIME: Duration = Duration::from_secs(5);
+/// ... half of the way in this time.
+const DRIFT_HALF_LIFE: Duration = Duration::from_secs(30);
 /// The cost of an attempt that is certain to fail, as time.
 const FAILURE_COST: Duration = Duration::from_millis(2_500);
 /// The cost of sending to another availability zone, as time.
@@ -94,7 +99,8 @@
     prompt: Tokens,
     /// Prompt tokens that were to be processed up to and including this request.
     work: Tokens,
-    first: Option<Instant>,
+    /// When its first token came, and how many other requests ran then.
+    first: Option<(Instant, u32)>,
 }
 
 /// A peer's load on an upstream.
@@ -109,8 +115,9 @@
 pub struct Upstream {
     /// Its entry in the directory.
     pub registration: Registration,
-    /// Its estimated speed.
+    /// Its estimated lasting speed.
     pub pace: Pace,
+    slowdown: Slowdown,
     running: BTreeMap<id::Request, Attempt>,
     peer_loads: HashMap<id::Instance, Load>,
     failures: f64,
@@ -144,6 +151,7 @@
         Self {
             registration,
             pace: Pace::default(),
+            slowdown: Slowdown::default(),
             running: BTreeMap::new(),
             peer_loads: HashMap::new(),
             failures: 0.0,
@@ -241,6 +249,36 @@
         self.pace.time_to_first_token(call.prompt)
     }
 
+    /// How many times slower than usual it is at the moment, by the newest first tokens
+    /// and by those that are overdue.
+    fn slowdown(&self, now: Instant) -> f64 {
+        self.overdue(now).max(self.slowdown.factor(now))
+    }
+
+    /// The same by the first tokens that are overdue.
+    fn overdue(&self, now: Instant) -> f64 {
+        let unanswered = self.running.values().filter(|a| a.first.is_none() && a.prompt.0 > 0);
+        let ratio = |attempt: &Attempt| {
+            let waited = now.saturating_duration_since(attempt.started);
+            slowdown::ratio(self.pace.time_to_first_token(attempt.work), waited)
+        };
+        unanswered.map(ratio).fold(1.0, f64::max)
+    }
+
+    /// Lets its estimated speed drift towards what is typical of its service, for the
+    /// `elapsed` time, unless it was observed lately by this instance or a peer.
+    pub(super) fn drift(&mut self, typical: &Pace, elapsed: Duration, now: Instant) {
+        if self.pace.observations == 0 {
+            self.pace = *typical;
+            return;
+        }
+        let is_recent = |at| now.saturating_duration_since(at) < OBSERVED_TIME;
+        if !self.slowdown.observed_at().is_some_and(is_recent) {
+            let halvings = elapsed.as_secs_f64() / DRIFT_HALF_LIFE.as_secs_f64();
+            self.pace.drift(typical, 1.0 - 0.5f64.powf(halvings));
+        }
+    }
+
     pub(super) fn estimate(
         &self,
         call: &Call,
@@ -255,7 +293,9 @@
         } else {
             let first =
                 self.pace.time_to_first_token(Tokens(self.prefill().saturating_add(call.prompt.0)));
-            (first, first + self.pace.answer_time(call.answer, self.running()))
+            let end = first + self.pace.answer_time(call.answer, self.running());
+            let factor = self.slowdown(now);
+            (slowdown::stretch(first, factor), slowdown::stretch(end, factor))
         };
         let zone = if self.registration.zone == location.zone { Duration::ZERO } else { ZONE_COST };
         let offset =
@@ -437,12 +477,14 @@
     /// Records the first byte or event of an answer.
     pub(super) fn record_first_byte(&mut self, request: id::Request, now: Instant) {
         self.reset_backoff();
+        let others = self.running().saturating_sub(1);
         let Some(attempt) = self.running.get_mut(&request) else { return };
         if attempt.first.is_some() || attempt.prompt.0 == 0 {
             return;
         }
-        attempt.first = Some(now);
+        attempt.first = Some((now, others));
         let (work, taken) = (attempt.work, now.saturating_duration_since(attempt.started));
+        self.slowdown.observe(self.pace.time_to_first_token(work), taken, now);
         self.pace.observe_first_token(work, taken);
     }
 
@@ -457,8 +499,11 @@
         let Some(tokens) = tokens else { return };
         self.reset_backoff();
         match attempt.first {
-            Some(first) => {
-                self.pace.observe_answer(tokens, now.saturating_duration_since(first));
+            Some((first, others)) => {
+                // The mean of those that ran at its first and at its last token.
+                let others = others.saturating_add(self.running()) / 2;
+                let taken = now.saturating_duration_since(first);
+                self.pace.observe_answer(tokens, taken, others);
             }
             None if attempt.prompt.0 == 0 => {
                 self.pace.observe_call(now.saturating_duration_since(attempt.started));
@@ -469,7 +514,7 @@
 
     /// Updates the load of a peer.
     pub(super) fn update_peer(&mut self, from: &id::Instance, load: &gossip::Load, now: Instant) {
-        self.pace.merge(&load.pace);
+        self.receive_speed(load, now);
         self.rejection_limit.receive(load.rejection_limit, now);
         if load.running > 0 {
             let peer_load = Load { running: load.running, prefill: load.prefill };
@@ -477,19 +522,42 @@
         }
     }
 
+    /// Adds what a peer knows of its speed. A peer states that in each of its messages:
+    /// it is added where its newest observation is new, or, from a build that does not
+    /// tell, where it knows of more observations.
+    fn receive_speed(&mut self, load: &gossip::Load, now: Instant) {
+        let is_news = match load.observation {
+            Some(observation) => self.slowdown.receive(observation, now),
+            None => load.pace.observations > self.pace.observations,
+        };
+        if is_news {
+            self.pace.merge(&load.pace);
+        }
+    }
+
     /// Removes the load of a peer.
     pub(super) fn remove_peer(&mut self, peer: &id::Instance) {
         self.peer_loads.remove(peer);
     }
 
+    /// What peers have to know of its speed at the moment.
+    fn observation(&self, now: Instant) -> Option<Observation> {
+        let overdue = self.overdue(now);
+        if overdue > self.slowdown.factor(now) {
+            return Some(Observation { factor: overdue, age: Duration::ZERO });
+        }
+        self.slowdown.observation(now)
+    }
+
     /// This instance's load on it, for peers.
-    pub(super) fn load(&self) -> gossip::Load {
+    pub(super) fn load(&self, now: Instant) -> gossip::Load {
         gossip::Load {
             upstream: self.registration.id.clone(),
             running: self.own_running(),
             prefill: Tokens(self.own_prefill()),
             pace: self.pace,
             rejection_limit: self.rejection_limit.per_second(),
+            observation: self.observation(now),
         }
     }
 }
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -14,5 +14,6 @@
 mod repeats;
 mod resumptions;
 mod site;
+mod speed;
 mod watermark;
 mod zones;
--- a/crates/core/tests/entry/placement.rs
+++ b/crates/core/tests/entry/placement.rs
@@ -129,6 +129,7 @@
             prefill: Tokens(0),
             pace,
             rejection_limit: None,
+            observation: None,
         };
         let mut gossip = site.gossip(upstream, 1);
         gossip.loads.push(load);
@@ -216,6 +217,7 @@
         prefill: Tokens(0),
         pace: Pace::default(),
         rejection_limit: None,
+        observation: None,
     };
     gossip.loads.push(load);
     site.handle(Event::Received(gossip));
