Send nothing to an upstream that answers after the caller has left

Fleet::choose compared the expected time to the first event with the latency target only, so that engines began work for callers who left before its first event. It now passes over such upstreams, and the request waits; one that even an idle upstream cannot answer in time is refused. An idle upstream that was not seen for 2 s is tried whatever its estimate says: a wrong estimate would else never be corrected.

A new replay without a network (tests/entry/overload.rs) plays bursts of 1.8 to 2.4 times the capacity. The case nothing_is_sent_that_starts_after_its_caller_leaves fails before the change.

--- a/crates/core/src/entry/backlog.rs
+++ b/crates/core/src/entry/backlog.rs
@@ -7,7 +7,7 @@
 //! target, the latter by their deadline.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::call::{Call, Origin};
 use crate::id;
@@ -19,6 +19,9 @@
     pub call: Call,
     /// Upstreams on which an attempt failed.
     pub excluded: Vec<id::Upstream>,
+    /// The least time that an upstream was expected to need until its first byte or
+    /// event when the request began to wait.
+    pub least_first: Duration,
 }
 
 impl Waiting {
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -44,7 +44,8 @@
     /// Send it to this upstream, whose first byte or event is expected after
     /// this time.
     Send(id::Upstream, Duration),
-    /// Let it wait, as an upstream that is full now suits it better than those with room.
+    /// Let it wait, as those with room are too slow for it, or one that is full now suits
+    /// it better.
     Wait,
     /// Let it wait, as no upstream that could take it has room.
     Full,
@@ -112,7 +113,8 @@
     /// Chooses the upstream on which a request is expected to end first.
     ///
     /// A request that would miss its latency target there waits instead, as long
-    /// as a full upstream could still meet the target once it has room.
+    /// as a full upstream could still meet the target once it has room. It also waits
+    /// where its caller would leave before the first byte or event.
     ///
     /// Outside a full mesh, upstreams of other availability zones are used only
     /// if none of the own zone is open.
@@ -158,6 +160,7 @@
         let mut is_any_open = false;
         let mut best: Option<(Estimate, &Upstream)> = None;
         let mut fastest_full: Option<Duration> = None;
+        let mut is_any_too_slow = false;
         let open = self.upstreams.values().filter(is_open);
         let open = open.filter(|u| !only_own_zone || is_in_own_zone(u));
         for upstream in open {
@@ -171,12 +174,21 @@
                 continue;
             }
             let estimate = upstream.estimate(call, now, &self.location, visibility);
+            if now + estimate.first > call.first_byte_deadline && !upstream.is_trial_due(now) {
+                is_any_too_slow = true;
+                continue;
+            }
             if best.is_none_or(|(b, _)| estimate.cost < b.cost) {
                 best = Some((estimate, upstream));
             }
         }
         let Some((estimate, upstream)) = best else {
-            return if is_any_open { Choice::Full } else { Choice::NoUpstream };
+            // Others of the service may do with an upstream that is too slow for this one.
+            return match (is_any_too_slow, is_any_open) {
+                (true, _) => Choice::Wait,
+                (false, true) => Choice::Full,
+                (false, false) => Choice::NoUpstream,
+            };
         };
         let is_late = now + estimate.first > call.latency_target;
         let could_be_in_time = fastest_full.is_some_and(|first| now + first < call.latency_target);
@@ -186,6 +198,24 @@
         Choice::Send(upstream.registration.id.clone(), estimate.first)
     }
 
+    /// The least time to the first byte or event at the upstreams that may take a
+    /// request; zero if none is open.
+    pub fn least_time_to_first(
+        &self,
+        call: &Call,
+        excluded: &[id::Upstream],
+        now: Instant,
+    ) -> Duration {
+        let is_usable = |u: &&Upstream| {
+            u.registration.service == call.service
+                && u.is_open(now)
+                && !excluded.contains(&u.registration.id)
+                && call.origin.allows(u.registration.release.as_ref())
+        };
+        let usable = self.upstreams.values().filter(is_usable);
+        usable.map(|u| u.least_time_to_first(call, now)).min().unwrap_or_default()
+    }
+
     /// Records that a request was sent.
     pub fn record_sent(&mut self, id: &id::Upstream, call: &Call, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -284,7 +284,9 @@
             self.refuse(now, id, Reason::NoUpstream);
             return;
         }
-        let waiting = Waiting { call: held.call.clone(), excluded: held.excluded.clone() };
+        let (call, excluded) = (held.call.clone(), held.excluded.clone());
+        let least_first = self.fleet.least_time_to_first(&call, &excluded, now);
+        let waiting = Waiting { call, excluded, least_first };
         self.backlog.push(waiting);
         self.dispatch_waiting(now);
         if self.is_closed {
@@ -347,7 +349,7 @@
             }
             let choice = match choice {
                 Choice::NoUpstream => {
-                    let Waiting { call, excluded } = waiting;
+                    let Waiting { call, excluded, .. } = waiting;
                     self.fleet.choose_unreached(call, excluded, visibility, now)
                 }
                 choice => choice,
--- a/crates/core/src/entry/scheduler/refusals.rs
+++ b/crates/core/src/entry/scheduler/refusals.rs
@@ -74,7 +74,7 @@
     /// Refuses waiting requests that can no longer be answered in time.
     pub(super) fn expire(&mut self, now: Instant) {
         self.refuse_paused(now);
-        let is_expired = |w: &&Waiting| now >= latest_start(&w.call);
+        let is_expired = |w: &&Waiting| now >= latest_start(w);
         let expired = self.backlog.iter().filter(is_expired);
         let expired: Vec<_> =
             expired.map(|w| (w.call.id, self.fleet.has_open(&w.call.service, now))).collect();
@@ -98,8 +98,7 @@
         let services: BTreeSet<_> = self.backlog.iter().map(|w| w.call.service.clone()).collect();
         for service in services {
             let Some(opens_at) = self.fleet.opens_at(&service, now) else { continue };
-            let is_late =
-                |w: &&Waiting| w.call.service == service && opens_at >= latest_start(&w.call);
+            let is_late = |w: &&Waiting| w.call.service == service && opens_at >= latest_start(w);
             let late = self.backlog.iter().filter(is_late);
             let late: Vec<_> = late.map(|w| w.call.id).collect();
             for id in late {
@@ -111,10 +110,12 @@
 
 /// The latest time at which a request can be sent, so that its caller has an
 /// answer in time.
-fn latest_start(call: &Call) -> Instant {
+fn latest_start(waiting: &Waiting) -> Instant {
+    let Waiting { call, least_first, .. } = waiting;
     let timeout = call.first_byte_deadline.saturating_duration_since(call.arrived);
     let by_wait = call.arrived + timeout.mul_f64(MAX_WAIT_FRACTION);
-    let by_margin = call.first_byte_deadline.checked_sub(ANSWER_MARGIN);
+    let margin = ANSWER_MARGIN.max(*least_first);
+    let by_margin = call.first_byte_deadline.checked_sub(margin);
     by_margin.map_or(by_wait, |at| at.min(by_wait))
 }
 
--- a/crates/core/src/entry/upstream.rs
+++ b/crates/core/src/entry/upstream.rs
@@ -39,6 +39,9 @@
 const ZONE_COST: Duration = Duration::from_millis(30);
 /// The smallest range of the cost that spreads instances over different upstreams.
 const MIN_SPREAD_COST: Duration = Duration::from_millis(25);
+/// An idle upstream from which nothing came for this long may be tried whatever its
+/// estimate says, so that an estimate that is wrong can be corrected.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(2);
 /// How many requests per slot a plain service is sent: it queues some, and the
 /// order among them matters little.
 const PLAIN_REQUESTS_PER_SLOT: u32 = 2;
@@ -241,6 +244,22 @@
         self.pace.time_to_first_token(call.prompt)
     }
 
+    /// Whether its estimate is no reason to withhold a request: it runs nothing, and
+    /// this instance has seen no outcome from it for [`TRIAL_INTERVAL`].
+    pub(super) fn is_trial_due(&self, now: Instant) -> bool {
+        let is_seen =
+            self.failures_at.is_some_and(|at| now.saturating_duration_since(at) < TRIAL_INTERVAL);
+        self.running() == 0 && !is_seen
+    }
+
+    /// The time to the first token or byte that no request can expect to undercut.
+    pub(super) fn least_time_to_first(&self, call: &Call, now: Instant) -> Duration {
+        if self.is_trial_due(now) {
+            return Duration::ZERO;
+        }
+        self.idle_time_to_first(call)
+    }
+
     pub(super) fn estimate(
         &self,
         call: &Call,
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod limit;
 mod limits;
 mod network;
+mod overload;
 mod placement;
 mod quarantine;
 mod quota;
