--- a/crates/core/tests/entry/speed.rs
+++ b/crates/core/tests/entry/speed.rs
@@ -366,8 +366,7 @@
     }
 }
 
-/// Replays three seeds of a load that fills the engines, and of a half and an eighth of it
-/// or so.
+/// Replays three seeds of each load, in requests per second.
 fn replay(shape: Shape, loads: [f64; 3]) -> [Tally; 3] {
     loads.map(|per_second| {
         let mut all = Tally::default();
