Move a service's traffic to another version in checked steps

Cause: operators order that a service's traffic be moved to engines of another version; nothing acted on such an order. Change: entry::rollout holds the steps, the counts, the verdict and the share of each instance; the scheduler keeps requests to admissible versions; gossip carries counts (Trial) and condemned versions; the platform reads orders and keeps the rows.

--- a/crates/core/benches/scheduler.rs
+++ b/crates/core/benches/scheduler.rs
@@ -97,6 +97,8 @@
             begun: vec![],
             asked: vec![],
             reaches: vec![],
+            trials: vec![],
+            condemned: vec![],
             watermark: Watermark::default(),
         };
         self.handle(Event::Received(gossip));
@@ -109,6 +111,7 @@
             delegation: None,
             team: Some(name(format!("t{}", self.requests as usize % TEAMS))),
             service: name("models".into()),
+            route: id::Route(1),
             rank: 0,
             urgency: 0,
             repeat: Repeat::Once,
--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -81,6 +81,8 @@
     pub team: Option<id::Team>,
     /// The service that it asks for.
     pub service: id::Service,
+    /// The route by which it came.
+    pub route: id::Route,
     /// The rank of its tier; 0 is the highest.
     pub rank: u8,
     /// The rank of its route within the tier; 0 is the most urgent.
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -7,6 +7,7 @@
 use super::gossip::{self, Leaving};
 use super::limit::Group;
 use super::reach::{Failures, Reach};
+use super::rollout::share::Admitted;
 use super::upstream::{Estimate, Location, Registration, Upstream, Visibility};
 use crate::id;
 use crate::unit::{RequestRate, Tokens};
@@ -120,10 +121,11 @@
         &self,
         call: &Call,
         excluded: &[id::Upstream],
+        admitted: &Admitted,
         visibility: Visibility,
         now: Instant,
     ) -> Choice {
-        self.choose_among(Upstream::is_open, call, excluded, visibility, now)
+        self.choose_among(Upstream::is_open, call, excluded, admitted, visibility, now)
     }
 
     /// The same where no upstream can be reached: those that may be reached again by
@@ -132,10 +134,11 @@
         &self,
         call: &Call,
         excluded: &[id::Upstream],
+        admitted: &Admitted,
         visibility: Visibility,
         now: Instant,
     ) -> Choice {
-        self.choose_among(Upstream::may_be_tried, call, excluded, visibility, now)
+        self.choose_among(Upstream::may_be_tried, call, excluded, admitted, visibility, now)
     }
 
     fn choose_among(
@@ -143,6 +146,7 @@
         is_candidate: impl Fn(&Upstream, Instant) -> bool,
         call: &Call,
         excluded: &[id::Upstream],
+        admitted: &Admitted,
         visibility: Visibility,
         now: Instant,
     ) -> Choice {
@@ -151,6 +155,7 @@
                 && is_candidate(u, now)
                 && !excluded.contains(&u.registration.id)
                 && call.origin.allows(u.registration.release.as_ref())
+                && admitted.allows(u.registration.release.as_ref())
         };
         let is_in_own_zone = |u: &&Upstream| u.registration.zone == self.location.zone;
         let only_own_zone = !visibility.is_full_mesh
@@ -427,6 +432,15 @@
         self.upstreams.values().any(|u| u.registration.service == *service && u.is_open(now))
     }
 
+    /// Whether an upstream of a service takes work whose version may get requests.
+    pub fn has_admitted(&self, service: &id::Service, admitted: &Admitted) -> bool {
+        let is_admitted = |u: &Upstream| {
+            let Registration { service: of, release, .. } = &u.registration;
+            of == service && u.takes_work() && admitted.allows(release.as_ref())
+        };
+        self.upstreams.values().any(is_admitted)
+    }
+
     /// Whether an upstream of a service may answer a request now or later.
     pub fn has_allowed(&self, call: &Call) -> bool {
         let is_allowed = |u: &Upstream| {
--- a/crates/core/src/entry/gossip.rs
+++ b/crates/core/src/entry/gossip.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::pace::Pace;
+use super::rollout::tally::Tally;
 use super::watermark::Watermark;
 use crate::id;
 use crate::unit::{RequestRate, Tokens};
@@ -57,6 +58,39 @@
     pub silent: u32,
     /// The tokens that the zone has admitted since the relay's start, by team.
     pub admitted: Vec<(id::Team, u64)>,
+    /// What the relay knows of rollouts in its zone.
+    pub trials: Vec<Trial>,
+}
+
+/// What an instance, or the instances of a zone, know of a rollout.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trial {
+    /// The service.
+    pub service: id::Service,
+    /// The version to which its traffic is moved.
+    pub to: id::Release,
+    /// The store's version of the order.
+    pub order: u64,
+    /// The number of the step that is known; in a digest the earliest that an instance of
+    /// the zone knows.
+    pub step: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Those of them that run on engines of other versions.
+    pub old_running: u32,
+    /// What was counted since the order.
+    pub tally: Tally,
+}
+
+/// A version that was proved to be bad.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Condemned {
+    /// The service.
+    pub service: id::Service,
+    /// The version.
+    pub to: id::Release,
+    /// The store's version of the order.
+    pub order: u64,
 }
 
 /// A request whose connection an upstream ended before its answer was complete.
@@ -192,6 +226,10 @@
     pub asked: Vec<id::Stream>,
     /// The services of which the sender cannot reach all upstreams.
     pub reaches: Vec<Reach>,
+    /// What it knows of rollouts; empty where the message is only for other zones.
+    pub trials: Vec<Trial>,
+    /// The versions that it knows to be bad.
+    pub condemned: Vec<Condemned>,
     /// What it knows of the shared store.
     pub watermark: Watermark,
 }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -20,6 +20,7 @@
 pub mod quota;
 pub mod reach;
 pub mod rejection;
+pub mod rollout;
 pub mod scheduler;
 pub mod streams;
 pub mod upstream;
--- a/crates/core/src/entry/scheduler/attempts.rs
+++ b/crates/core/src/entry/scheduler/attempts.rs
@@ -18,6 +18,7 @@
     pub(super) fn first_byte(&mut self, now: Instant, id: id::Request) {
         self.record_alive(now, id);
         self.record_origin(now, id);
+        self.count_first(now, id);
         let Some(upstream) = self.held.get(&id).and_then(|h| h.upstream.as_ref()) else { return };
         self.fleet.record_first_byte(upstream, id, now);
         self.fleet.record_outcome(upstream, false, now);
@@ -25,6 +26,7 @@
     }
 
     pub(super) fn ended(&mut self, now: Instant, id: id::Request, how: Ended) {
+        self.count_ended(now, id, how);
         let Some(held) = self.held.get_mut(&id) else { return };
         self.has_changes = true;
         if let Ended::Declined { is_unreached } = how {
@@ -94,7 +96,7 @@
             !is_blocked && held.call.repeat.may_run_again() && held.sent < held.call.max_attempts;
         let mut excluded = held.excluded.clone();
         excluded.extend(held.upstream.clone());
-        let choice = self.fleet.choose(&held.call, &excluded, visibility, now);
+        let choice = self.choose(now, held, &excluded, visibility, &mut vec![]);
         let reaches = self.fleet.partial_reaches();
         let own = reaches.get(&held.call.service);
         let has_other = matches!(choice, Choice::Send(..))
--- a/crates/core/src/entry/scheduler/event.rs
+++ b/crates/core/src/entry/scheduler/event.rs
@@ -9,6 +9,8 @@
 use crate::entry::gossip::{self, Gossip};
 use crate::entry::plan::Plan;
 use crate::entry::quota::Counting;
+use crate::entry::rollout::share::Exposure;
+use crate::entry::rollout::{self, Order, Step};
 use crate::entry::upstream::Registration;
 use crate::entry::watermark::Watermark;
 use crate::id;
@@ -77,6 +79,15 @@
     RecordsRead(Vec<gossip::Begun>),
     /// This instance has written the baseline of a service.
     BaselineWritten(id::Service, Baseline),
+    /// The limits that rollouts have to keep have changed; without them none is handled.
+    Exposed(Option<Exposure>),
+    /// An operator ordered that a service's traffic be moved to another version, or
+    /// removed the order.
+    Ordered(id::Service, Option<Order>),
+    /// The rows of rollouts were read in the shared store.
+    RolloutsRead(rollout::Read),
+    /// An upstream is slow for this long, as it has just started.
+    Warming(id::Upstream, Duration),
     /// A peer is registered in the store, with its availability zone.
     PeerRegistered(id::Instance, id::Zone),
     /// The shared store was read.
@@ -137,6 +148,28 @@
     SetBaseline(baseline::Change),
     /// Record these streams in the shared store again.
     RecordStreams(Vec<gossip::Begun>),
+    /// Read the rows of rollouts in the shared store.
+    ReadRollouts,
+    /// Write the row of a rollout to the shared store, and then read the rows.
+    WriteRollout(rollout::Change),
+    /// Report that a rollout has reached a step.
+    ReportRollout {
+        /// The service.
+        service: id::Service,
+        /// The version to which its traffic is moved.
+        to: id::Release,
+        /// The step.
+        step: Step,
+        /// The step that this instance knew before.
+        before: Option<Step>,
+    },
+    /// Report that a version proved to be bad.
+    ReportCondemned {
+        /// The service.
+        service: id::Service,
+        /// The version.
+        to: id::Release,
+    },
     /// Report that what is named is refused from now on, as it crashes upstreams.
     ReportQuarantine(gossip::Cause),
     /// Publish what is now known of the shared store.
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod peers;
 mod refusals;
 mod resumptions;
+mod rollouts;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -32,6 +33,7 @@
 pub use event::{Action, Audience, Event};
 use peers::Peer;
 use refusals::retry_after;
+use rollouts::Rollouts;
 
 /// The time between two [`Event::Tick`]s.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -89,6 +91,7 @@
     quarantine: Quarantine,
     streams: Streams,
     baselines: Baselines,
+    rollouts: Rollouts,
     /// The services of which callers resume streams.
     stream_services: BTreeSet<id::Service>,
     baselines_reviewed: Option<Instant>,
@@ -127,6 +130,7 @@
             quarantine: Quarantine::default(),
             streams: Streams::default(),
             baselines: Baselines::default(),
+            rollouts: Rollouts::default(),
             stream_services: BTreeSet::new(),
             baselines_reviewed: None,
             streams_era: None,
@@ -193,6 +197,10 @@
             Event::BaselineWritten(service, baseline) => {
                 self.baselines.record_written(service, baseline, now);
             }
+            Event::Exposed(exposure) => self.set_exposure(now, exposure),
+            Event::Ordered(service, order) => self.ordered(now, service, order),
+            Event::RolloutsRead(read) => self.rollouts_read(now, &read),
+            Event::Warming(upstream, time) => self.warming(now, upstream, time),
             Event::PeerRegistered(peer, zone) => self.peer_registered(now, peer, zone),
             Event::StoreRead(watermark) => self.update_watermark(&watermark),
             Event::Received(gossip) => self.received(now, gossip),
@@ -245,6 +253,7 @@
         if !call.is_delegated() {
             self.budget.record_request(&call.service, now);
         }
+        self.count_request(&call);
         self.find_origin(now, &mut call);
         let id = call.id;
         let excluded = call.delegation.as_ref().map(|d| d.excluded.clone()).unwrap_or_default();
@@ -280,7 +289,10 @@
             self.refuse_until(now, id, until, Reason::Quarantined);
             return;
         }
-        if matches!(held.call.origin, Origin::Release(_)) && !self.fleet.has_allowed(&held.call) {
+        let Some(held) = self.held.get(&id) else { return };
+        let is_resumed = matches!(held.call.origin, Origin::Release(_));
+        let has_allowed = || self.fleet.has_allowed(&held.call) && self.may_resume(now, &held.call);
+        if is_resumed && !has_allowed() {
             self.refuse(now, id, Reason::NoUpstream);
             return;
         }
@@ -320,35 +332,27 @@
         }
         let visibility = self.visibility();
         let reaches = self.fleet.partial_reaches();
-        let mut full: Vec<(id::Service, bool)> = vec![];
+        let mut full = vec![];
         let mut candidates = 0;
         for id in self.backlog.dispatch_order(now) {
             let Some(waiting) = self.backlog.get(id) else { continue };
             let Some(held) = self.held.get(&id) else { continue };
             let own = reaches.get(&held.call.service);
-            let is_plain = waiting.call.prompt.0 == 0;
-            let is_full = |(service, plain): &(id::Service, bool)| {
-                *service == waiting.call.service && *plain == is_plain
-            };
-            if own.is_none() && full.iter().any(is_full) {
+            if own.is_none() && self.is_known_full(now, held, &full) {
                 continue;
             }
             candidates += 1;
             if candidates > CANDIDATES_PER_PASS {
                 break;
             }
-            let choice = self.fleet.choose(&waiting.call, &waiting.excluded, visibility, now);
-            if choice == Choice::Full && waiting.is_unrestricted() {
-                full.push((waiting.call.service.clone(), is_plain));
-            }
+            let choice = self.choose(now, held, &waiting.excluded, visibility, &mut full);
             if let Some(peer) = self.delegate_for(now, held, &choice, own) {
                 self.delegate(id, peer);
                 continue;
             }
             let choice = match choice {
                 Choice::NoUpstream => {
-                    let Waiting { call, excluded } = waiting;
-                    self.fleet.choose_unreached(call, excluded, visibility, now)
+                    self.choose_unreached(now, held, &waiting.excluded, visibility)
                 }
                 choice => choice,
             };
@@ -367,6 +371,8 @@
         held.sent += 1;
         held.upstream = Some(upstream.clone());
         self.fleet.record_sent(&upstream, &held.call, now);
+        let call = held.call.clone();
+        self.count_sent(now, &call, &upstream);
         self.has_changes = true;
         let action =
             Action::Send { request: id, upstream: registration, sent_before, expected, running };
@@ -380,6 +386,7 @@
         self.streams.expire(self.fleet.iter(), now);
         self.resolve_origins(now);
         self.review_baselines(now);
+        self.review_rollouts(now);
         self.update_turns(now);
         self.probe(now);
         self.expire(now);
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -52,6 +52,13 @@
     answers: HashMap<id::Service, u64>,
 }
 
+impl Peer {
+    /// The start of the peer that was heard last.
+    pub(super) fn incarnation(&self) -> id::Incarnation {
+        self.incarnation
+    }
+}
+
 impl Scheduler {
     pub(super) fn received(&mut self, now: Instant, gossip: Gossip) {
         if gossip.from == self.options.location.instance {
@@ -122,6 +129,8 @@
         self.receive_limits(now, &gossip.limits, Some((&from, gossip.incarnation)));
         self.receive_dangers(now, *gossip.dangers);
         self.receive_streams(now, gossip.begun, &gossip.asked);
+        self.receive_trials(now, &(from, gossip.incarnation), None, gossip.trials);
+        self.receive_condemned(&gossip.condemned);
         self.update_watermark(&gossip.watermark);
         self.dispatch_waiting(now);
     }
@@ -133,7 +142,11 @@
 
     /// Counts what another zone admitted by the digest of one of its relays.
     fn received_digest(&mut self, now: Instant, gossip: Gossip) {
-        let Some(digest) = gossip.digest else { return };
+        let Some(mut digest) = gossip.digest else { return };
+        let sender = (gossip.from.clone(), gossip.incarnation);
+        let trials = std::mem::take(&mut digest.trials);
+        self.receive_trials(now, &sender, Some(&gossip.zone), trials);
+        self.receive_condemned(&gossip.condemned);
         let is_new = gossip.age < self.quota.window();
         let is_first = !self.is_counted_by_relays(&gossip.zone);
         let instances = digest.instances as usize;
@@ -338,26 +351,29 @@
             leaving: self.is_stopping,
             loads: if has_loads { self.fleet.loads() } else { vec![] },
             admitted: self.quota.admitted().map(|(t, c)| (t.clone(), c)).collect(),
-            digest: (audience == Audience::OtherZones).then(|| self.digest()),
+            digest: (audience == Audience::OtherZones).then(|| self.digest(now)),
             leaving_upstreams: self.fleet.leaving().cloned().collect(),
             limits: self.fleet.limits(now),
             dangers: Box::new(self.quarantine.message(now)),
             begun,
             asked,
             reaches: if has_loads { self.reaches() } else { vec![] },
+            trials: if has_loads { self.trials(now) } else { vec![] },
+            condemned: self.condemned(),
             watermark: self.watermark,
         };
         self.actions.push(Action::SendGossip { audience, gossip });
     }
 
     /// What this instance reports of its zone to the others.
-    fn digest(&self) -> Digest {
+    fn digest(&self, now: Instant) -> Digest {
         let zone = &self.options.location.zone;
         let peers = || self.peers.values().filter(|peer| peer.zone == *zone);
         Digest {
             instances: peers().count() as u32 + 1,
             silent: peers().filter(|peer| peer.is_silent).count() as u32,
             admitted: self.quota.zone_admitted().map(|(t, c)| (t.clone(), c)).collect(),
+            trials: self.zone_trials(now),
         }
     }
 
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -173,6 +173,10 @@
     /// An event stream, over all requests of its caller that resume it.
     Stream
 );
+number_id!(
+    /// A route, by the hash of its name.
+    Route
+);
 number_id!(
     /// A part of a prompt, which requests may share.
     Part
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -13,6 +13,7 @@
 mod rejections;
 mod repeats;
 mod resumptions;
+mod rollouts;
 mod site;
 mod watermark;
 mod zones;
--- a/crates/core/tests/entry/random.rs
+++ b/crates/core/tests/entry/random.rs
@@ -71,6 +71,10 @@
             | Action::ReadStreams
             | Action::RecordStreams(_)
             | Action::SetBaseline(_)
+            | Action::ReadRollouts
+            | Action::WriteRollout(_)
+            | Action::ReportRollout { .. }
+            | Action::ReportCondemned { .. }
             | Action::UpdateWatermark(_)
             | Action::SendGossip { .. } => {}
         }
--- a/crates/core/tests/entry/site.rs
+++ b/crates/core/tests/entry/site.rs
@@ -91,6 +91,7 @@
             delegation: None,
             team: None,
             service: name("models"),
+            route: id::Route(1),
             rank: 0,
             urgency: 0,
             repeat: Repeat::Once,
@@ -146,6 +147,8 @@
             begun: vec![],
             asked: vec![],
             reaches: vec![],
+            trials: vec![],
+            condemned: vec![],
             watermark: Watermark::default(),
         }
     }
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -397,6 +397,7 @@
             delegation: None,
             team: team.map(|t| t.id.clone()),
             service: route.service_for(&head.request)?.clone(),
+            route: id::Route(stable_hash(route.name.as_str())),
             rank: team.and_then(|t| t.rank).unwrap_or(route.rank),
             urgency: route.rank,
             repeat: route.repeat,
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -24,6 +24,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::runtime::{Broadcast, Handle};
+use crate::trial;
 
 /// The longest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
@@ -133,6 +134,7 @@
         instances: digest.instances,
         silent: digest.silent,
         admitted: encode_admitted(digest.admitted),
+        trials: digest.trials.into_iter().map(trial::encode).collect(),
     };
     let dangers = *gossip.dangers;
     let answers =
@@ -165,6 +167,8 @@
         begun: gossip.begun.into_iter().map(encode_begun).collect(),
         asked: encode_streams(gossip.asked),
         reaches: gossip.reaches.into_iter().map(encode_reach).collect(),
+        trials: gossip.trials.into_iter().map(trial::encode).collect(),
+        condemned: gossip.condemned.into_iter().map(trial::encode_condemned).collect(),
     }
 }
 
@@ -345,6 +349,7 @@
         instances: digest.instances.min(MAX_ZONE_INSTANCES),
         silent: digest.silent.min(digest.instances),
         admitted: decode_admitted(digest.admitted),
+        trials: digest.trials.into_iter().filter_map(trial::decode).collect(),
     };
     let dangers = Box::new(decode_dangers(&mut message));
     Some(Gossip {
@@ -363,6 +368,8 @@
         begun: message.begun.into_iter().filter_map(decode_begun).collect(),
         asked: decode_streams(message.asked),
         reaches: message.reaches.into_iter().filter_map(decode_reach).collect(),
+        trials: message.trials.into_iter().filter_map(trial::decode).collect(),
+        condemned: message.condemned.into_iter().filter_map(trial::decode_condemned).collect(),
         watermark: Watermark {
             era: Era(message.era),
             plan: Version(message.plan),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod socket;
 pub mod target;
 pub mod thread;
+pub mod trial;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -40,6 +40,12 @@
     pub held_response_bytes: Gauge,
     /// Configurations that were not valid.
     pub invalid_configurations: Counter,
+    /// Steps that rollouts have reached, by step.
+    pub rollout_steps: ByHow,
+    /// Versions that proved to be bad.
+    pub condemned_versions: Counter,
+    /// Orders of rollouts that were not valid.
+    pub invalid_orders: Counter,
 }
 
 impl Default for Metrics {
@@ -59,6 +65,9 @@
             held_body_bytes: Gauge::default(),
             held_response_bytes: Gauge::default(),
             invalid_configurations: Counter::default(),
+            rollout_steps: ByHow::default(),
+            condemned_versions: Counter::default(),
+            invalid_orders: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that arrived", metrics.requests.clone());
@@ -102,6 +111,21 @@
             "Configurations that were not valid",
             metrics.invalid_configurations.clone(),
         );
+        registry.register(
+            "rollout_steps",
+            "Steps that rollouts have reached",
+            metrics.rollout_steps.clone(),
+        );
+        registry.register(
+            "condemned_versions",
+            "Versions that proved to be bad",
+            metrics.condemned_versions.clone(),
+        );
+        registry.register(
+            "invalid_orders",
+            "Orders of rollouts that were not valid",
+            metrics.invalid_orders.clone(),
+        );
         metrics
     }
 }
@@ -117,6 +141,11 @@
         self.failed_attempts.get_or_create(&[("how", how)]).inc();
     }
 
+    /// Counts that a rollout has reached a step.
+    pub fn count_rollout_step(&self, step: &'static str) {
+        self.rollout_steps.get_or_create(&[("how", step)]).inc();
+    }
+
     /// Returns all metrics in the text format of Prometheus.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -10,11 +10,12 @@
 use rosemarypond_core::entry::call::{Call, Ended, Origin, Reason};
 use rosemarypond_core::entry::gossip::{Begun, Cause, Gossip};
 use rosemarypond_core::entry::node::Node;
+use rosemarypond_core::entry::rollout::{self, Step};
 use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler};
 use rosemarypond_core::entry::upstream::Registration;
 use rosemarypond_core::entry::watermark::Watermark;
 use rosemarypond_core::id;
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use stakker::{actor, ret_nop};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
@@ -77,6 +78,21 @@
     pub store: mpsc::UnboundedReceiver<StoreCall>,
     /// The streams that are to be recorded there.
     pub records: mpsc::UnboundedReceiver<Record>,
+    /// What is to be read or written of rollouts there.
+    pub rollouts: mpsc::UnboundedReceiver<RolloutCall>,
+}
+
+/// What is to be read or written of rollouts in the shared store.
+#[derive(Debug)]
+pub enum RolloutCall {
+    /// Read the rows.
+    Read,
+    /// Write a row, and then read the rows.
+    Write(rollout::Change),
+    /// Count that a rollout has reached a step.
+    Reached(Step),
+    /// Count that a version proved to be bad.
+    Condemned,
 }
 
 /// What is to be read or written of streams in the shared store.
@@ -106,6 +122,7 @@
     probes: mpsc::UnboundedSender<Registration>,
     store: mpsc::UnboundedSender<StoreCall>,
     records: mpsc::UnboundedSender<Record>,
+    rollouts: mpsc::UnboundedSender<RolloutCall>,
     log: Logger,
     watermark: watch::Sender<Watermark>,
 }
@@ -125,9 +142,16 @@
         let senders = RefCell::default();
         let (store, calls) = mpsc::unbounded_channel();
         let (records, recorded) = mpsc::unbounded_channel();
-        let inner = Inner { host, senders, gossip, probes, store, records, log, watermark };
-        let outgoing =
-            Outgoing { gossip: outgoing, probes: probed, store: calls, records: recorded };
+        let (rollouts, rolled) = mpsc::unbounded_channel();
+        let inner =
+            Inner { host, senders, gossip, probes, store, records, rollouts, log, watermark };
+        let outgoing = Outgoing {
+            gossip: outgoing,
+            probes: probed,
+            store: calls,
+            records: recorded,
+            rollouts: rolled,
+        };
         (Self(Rc::new(inner)), outgoing)
     }
 
@@ -191,6 +215,21 @@
                     drop(self.0.records.send(Record { begun, done: None }));
                 }
             }
+            Action::ReadRollouts => drop(self.0.rollouts.send(RolloutCall::Read)),
+            Action::WriteRollout(change) => {
+                drop(self.0.rollouts.send(RolloutCall::Write(change)));
+            }
+            Action::ReportRollout { service, to, step, before } => {
+                info!(self.0.log, "rollout has reached a step"; "service" => service.as_str(),
+                    "to" => to.as_str(), "step" => step.as_str(),
+                    "before" => before.map(Step::as_str));
+                drop(self.0.rollouts.send(RolloutCall::Reached(step)));
+            }
+            Action::ReportCondemned { service, to } => {
+                warn!(self.0.log, "version proved to be bad; it gets no further requests";
+                    "service" => service.as_str(), "to" => to.as_str());
+                drop(self.0.rollouts.send(RolloutCall::Condemned));
+            }
             Action::Probe(upstream) => drop(self.0.probes.send(upstream)),
             Action::Refuse { request, reason, retry_after } => {
                 self.send_directive(request, Directive::Refuse { reason, retry_after });
