Handle repeated orders, few engines and a single version in rollouts

Cause: an order that was repeated midway could begin again at an instance that had just started, an invalid order for the only version left no engine to serve, and reviews at dozens of instances add many counts each time. Change: a running row for the same version is gone on with; where only one version is left it serves unless it proved to be bad; reviews are rarer beyond a full mesh.

--- a/crates/core/src/entry/rollout/mod.rs
+++ b/crates/core/src/entry/rollout/mod.rs
@@ -200,11 +200,13 @@
         self.row = Some(row);
     }
 
-    /// Whether a row is of this rollout's order; after a restore the order's version may
-    /// be another one.
+    /// Whether a row is of this rollout's order. One that is carried out for the same
+    /// version is: the order was repeated. After a restore an order that this instance has
+    /// carried out may have another version.
     fn is_of_order(&self, row: &Row, read: &Read) -> bool {
-        let is_same = row.order.version == self.order.version || row.era != read.era;
-        row.order.to == self.order.to && (is_same || self.row.is_some() && !self.is_final())
+        let is_restored = row.era != read.era && self.row.is_some();
+        let is_same = row.order.version == self.order.version;
+        row.order.to == self.order.to && (is_same || is_restored || !row.step.is_final())
     }
 
     /// Updates what the instance sees of the engines.
@@ -213,8 +215,8 @@
         let gone_since = self.gone_since.unwrap_or(now);
         self.gone_since = (!engines.has_new).then_some(gone_since);
         self.is_lifted |= self.is_over(now);
-        let is_bad = self.ledger.is_bad();
-        if is_bad && matches!(self.step(), Some(step) if !step.is_final()) {
+        let is_judged = self.step().is_some_and(|step| !step.is_final());
+        if is_judged && !self.is_condemned && self.ledger.is_bad() {
             self.condemn();
         }
     }
--- a/crates/core/src/entry/scheduler/rollouts.rs
+++ b/crates/core/src/entry/scheduler/rollouts.rs
@@ -17,6 +17,9 @@
 
 /// How often rollouts are reviewed.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(60);
+/// The same beyond a full mesh: a review adds the counts of up to a hundred instances of
+/// the zone, on a machine that has an eighth of a core.
+const LONG_REVIEW_INTERVAL: Duration = Duration::from_millis(200);
 /// The time between two reads of the rows.
 const READ_INTERVAL: Duration = Duration::from_millis(600);
 /// The same where a peer knows a later step.
@@ -241,10 +244,9 @@
         let paths = rollout.paths(&call.origin, lot, is_retry, limits, now);
         let has_any = |admitted: &Admitted| self.fleet.has_admitted(&call.service, admitted);
         // Where only one version is left, requests are not refused for want of the other.
-        let is_stuck = !rollout.is_condemned()
-            && rollout.step() != Some(Step::RolledBack)
-            && call.origin == Origin::Fresh
-            && !paths.iter().any(has_any);
+        // A version that proved to be bad gets none all the same.
+        let is_stuck =
+            !rollout.is_condemned() && call.origin == Origin::Fresh && !paths.iter().any(has_any);
         if is_stuck { vec![Admitted::Any] } else { paths }
     }
 
@@ -363,7 +365,8 @@
         }
         let since =
             |at: Option<Instant>| at.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
-        if since(self.rollouts.reviewed_at) < REVIEW_INTERVAL {
+        let interval = if self.is_full_mesh() { REVIEW_INTERVAL } else { LONG_REVIEW_INTERVAL };
+        if since(self.rollouts.reviewed_at) < interval {
             return;
         }
         self.rollouts.reviewed_at = Some(now);
--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -363,7 +363,7 @@
 
     /// Has all instances keep the limits of rollouts.
     pub fn expose(&mut self, exposure: Exposure) {
-        self.store.opened = Some(self.now);
+        self.store.opened.get_or_insert(self.now);
         for index in 0..self.size.instances {
             self.handle(index, Event::Exposed(Some(exposure)));
         }
--- a/crates/core/tests/entry/rollouts.rs
+++ b/crates/core/tests/entry/rollouts.rs
@@ -272,6 +272,49 @@
     assert!(trial.elapsed() <= DURATION);
 }
 
+/// All engines have the version already, and the order is invalid: they go on serving.
+fn only_version(_site: Site) {
+    let mut trial = Trial::new(Size { engines: 1, ..FEW });
+    trial.order("v1", None);
+    trial.play_to_end(ms(2_000));
+    assert_eq!(trial.step(), Some(Step::RolledBack));
+    let after = trial.network.now;
+    trial.play(ms(2_000));
+    assert!(trial.network.arrived_at("v1", after) > 0);
+}
+
+/// The engines of the new version are too few for all requests.
+fn too_few(_site: Site) {
+    let mut trial = Trial::new(Size { engines: 3, ..FEW });
+    trial.order("v2", Some(DURATION));
+    trial.play_to_end(DURATION + ms(1_000));
+    assert_eq!(trial.step(), Some(Step::RolledBack));
+    assert!(trial.elapsed() <= DURATION);
+    assert!(!trial.network.store.steps.iter().any(|(_, step)| *step == Step::All));
+}
+
+/// Messages are lost now and then.
+fn loss(_site: Site) {
+    let mut trial = Trial::new(MANY);
+    trial.network.loss = 0.2;
+    trial.order("v2", Some(DURATION));
+    trial.play_to_end(DURATION + ms(1_000));
+    trial.assert_succeeded();
+}
+
+/// Half of the instances are killed midway; the new ones go on from the row.
+fn restarted(_site: Site) {
+    let mut trial = Trial::new(FEW);
+    trial.order("v2", Some(DURATION));
+    trial.play(ms(3_000));
+    let ordered = trial.ordered;
+    trial.network.restart(|index| index < 3);
+    trial.network.expose(EXPOSURE);
+    trial.play_to_end(DURATION);
+    trial.ordered = ordered;
+    trial.assert_succeeded();
+}
+
 /// Without the limits of rollouts an order changes nothing.
 fn without_limits(_site: Site) {
     let mut network = Network::new(FEW, 7);
@@ -309,5 +352,10 @@
     step_stays_where_the_store_lost_it => restored;
     rollout_is_rolled_back_where_zones_are_partitioned => |_| partition(FEW);
     rollout_is_rolled_back_where_many_are_partitioned => |_| partition(MANY);
+    /// Guards against an outage where the order names the only version.
+    only_version_serves_after_an_invalid_order => only_version;
+    version_with_too_few_engines_is_rolled_back => too_few;
+    good_version_succeeds_while_messages_are_lost => loss;
+    good_version_succeeds_where_half_of_the_instances_restart => restarted;
     order_changes_nothing_without_limits => without_limits;
 }
