--- a/crates/core/src/entry/scheduler/event.rs
+++ b/crates/core/src/entry/scheduler/event.rs
@@ -179,7 +179,7 @@
         /// Which peers receive it.
         audience: Audience,
         /// The state.
-        gossip: Gossip,
+        gossip: Box<Gossip>,
     },
 }
 
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -362,7 +362,7 @@
             condemned: self.condemned(),
             watermark: self.watermark,
         };
-        self.actions.push(Action::SendGossip { audience, gossip });
+        self.actions.push(Action::SendGossip { audience, gossip: Box::new(gossip) });
     }
 
     /// What this instance reports of its zone to the others.
--- a/crates/core/tests/entry/limits.rs
+++ b/crates/core/tests/entry/limits.rs
@@ -146,7 +146,7 @@
         while in_flight.front().is_some_and(|(due, _)| *due <= now) {
             let (_, gossip) = in_flight.pop_front().expect("a message is in flight");
             for scheduler in &mut instances {
-                scheduler.handle(now, Event::Received(gossip.clone()));
+                scheduler.handle(now, Event::Received(*gossip.clone()));
             }
         }
     }
