--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -14,6 +14,7 @@
 mod rejections;
 mod repeats;
 mod resumptions;
+mod rollouts;
 mod site;
 mod speed;
 mod watermark;
