Send requests of a full zone to engines that other zones offer

Cause: beyond a full mesh an instance uses engines of other zones only if none of its own is open; when its own are full, work waits or is refused while engines elsewhere are idle.

Change: the first relay of a zone reports in its digest what the zone needs and offers slots of named engines that were free for 0.8 s; instances of a zone in need divide them by rendezvous hashing. Offers bound concurrent requests, expire after a second, and count as taken in the lending zone. New entry::spill and entry::scheduler::spill.

--- a/crates/core/benches/scheduler.rs
+++ b/crates/core/benches/scheduler.rs
@@ -97,6 +97,7 @@
             begun: vec![],
             asked: vec![],
             reaches: vec![],
+            needs: vec![],
             watermark: Watermark::default(),
         };
         self.handle(Event::Received(gossip));
--- a/crates/core/src/entry/gossip.rs
+++ b/crates/core/src/entry/gossip.rs
@@ -57,6 +57,34 @@
     pub silent: u32,
     /// The tokens that the zone has admitted since the relay's start, by team.
     pub admitted: Vec<(id::Team, u64)>,
+    /// What the zone needs of other zones.
+    pub needs: Vec<Need>,
+    /// What the zone offers to others.
+    pub offers: Vec<Offer>,
+}
+
+/// How much of a service is needed in other availability zones.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Need {
+    /// The service.
+    pub service: id::Service,
+    /// The requests that wait.
+    pub waiting: u32,
+    /// The slots of other zones that are needed, with those in use.
+    pub slots: u32,
+}
+
+/// Slots of an upstream that another availability zone may use for a second.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Offer {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// The zone that may use them.
+    pub zone: id::Zone,
+    /// The most requests of the zone that may run on it at once.
+    pub slots: u32,
+    /// Its estimated speed.
+    pub pace: Pace,
 }
 
 /// A request whose connection an upstream ended before its answer was complete.
@@ -173,7 +201,8 @@
     /// Whether the sender is leaving.
     pub leaving: bool,
     /// The sender's load on each upstream that it uses; empty where the message is
-    /// only for other availability zones.
+    /// only for other availability zones: those are told the loads of the sender's zone on
+    /// their upstreams.
     pub loads: Vec<Load>,
     /// The tokens that it has admitted since its start, by team.
     pub admitted: Vec<(id::Team, u64)>,
@@ -192,6 +221,8 @@
     pub asked: Vec<id::Stream>,
     /// The services of which the sender cannot reach all upstreams.
     pub reaches: Vec<Reach>,
+    /// What the sender needs of other availability zones.
+    pub needs: Vec<Need>,
     /// What it knows of the shared store.
     pub watermark: Watermark,
 }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -21,6 +21,7 @@
 pub mod reach;
 pub mod rejection;
 pub mod scheduler;
+pub mod spill;
 pub mod streams;
 pub mod upstream;
 pub mod watermark;
--- a/crates/core/src/entry/scheduler/attempts.rs
+++ b/crates/core/src/entry/scheduler/attempts.rs
@@ -75,6 +75,7 @@
             Ended::NotRun { .. } => {
                 self.fleet.record_outcome(upstream, true, now);
                 self.fleet.record_rejection(upstream, now);
+                self.record_spill_rejection(now, upstream);
             }
             Ended::Failed | Ended::Broken | Ended::Cut | Ended::TimedOut => {
                 self.fleet.record_outcome(upstream, true, now);
--- a/crates/core/src/entry/scheduler/event.rs
+++ b/crates/core/src/entry/scheduler/event.rs
@@ -41,6 +41,9 @@
     Configured(Arc<Plan>),
     /// The limit on retries and how quotas are counted have changed.
     Limited(Allowance, Counting),
+    /// Whether requests may be sent to other availability zones while upstreams of the own
+    /// zone are full, and upstreams be offered to others, has changed.
+    SpillEnabled(bool),
     /// An upstream was registered in the directory, or its entry changed.
     Registered(Registration),
     /// An upstream is no longer in the directory.
@@ -139,6 +142,9 @@
     RecordStreams(Vec<gossip::Begun>),
     /// Report that what is named is refused from now on, as it crashes upstreams.
     ReportQuarantine(gossip::Cause),
+    /// Report that this instance begins or ends to lend or borrow upstreams between
+    /// availability zones.
+    ReportSpill(Spill),
     /// Publish what is now known of the shared store.
     UpdateWatermark(Watermark),
     /// Send this instance's state to peers.
@@ -150,6 +156,15 @@
     },
 }
 
+/// A change of state of the spillover between availability zones.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Spill {
+    /// Whether this relay offers upstreams of its zone to others.
+    Lending(bool),
+    /// Whether this instance may use upstreams that other zones offer.
+    Borrowing(bool),
+}
+
 /// The peers that receive a message.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Audience {
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod peers;
 mod refusals;
 mod resumptions;
+mod spill;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -29,7 +30,7 @@
 use crate::hash::stable_hash;
 use crate::id;
 
-pub use event::{Action, Audience, Event};
+pub use event::{Action, Audience, Event, Spill};
 use peers::Peer;
 use refusals::retry_after;
 
@@ -103,6 +104,7 @@
     population: Population,
     /// The peers to which nothing is delegated before this time.
     paused_delegates: BTreeMap<id::Instance, Instant>,
+    spill: spill::State,
     watermark: Watermark,
     started: Option<Instant>,
     sequence: u64,
@@ -138,6 +140,7 @@
             zones: Zones::default(),
             population: Population { instances: 1, silent: 0, age: Duration::ZERO },
             paused_delegates: BTreeMap::new(),
+            spill: spill::State::default(),
             watermark: Watermark::default(),
             started: None,
             sequence: 0,
@@ -169,6 +172,7 @@
                 self.budget.set_allowance(allowance);
                 self.quota.set_counting(counting);
             }
+            Event::SpillEnabled(is_enabled) => self.enable_spill(is_enabled),
             Event::Registered(registration) => {
                 self.streams.record_release(&registration, now);
                 self.fleet.register(registration);
@@ -286,6 +290,7 @@
         }
         let waiting = Waiting { call: held.call.clone(), excluded: held.excluded.clone() };
         self.backlog.push(waiting);
+        self.spill_rejected(now, id);
         self.dispatch_waiting(now);
         if self.is_closed {
             self.refuse_waiting(now);
@@ -384,6 +389,7 @@
         self.probe(now);
         self.expire(now);
         self.dispatch_waiting(now);
+        self.spill(now);
         self.gossip(now);
     }
 
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Action, Audience, Scheduler};
-use crate::entry::gossip::{Digest, Gossip, Limit};
+use crate::entry::gossip::{Digest, Gossip, Limit, Need};
 use crate::entry::limit::Group;
 use crate::entry::quota::Knowledge;
 use crate::entry::upstream::{Location, Visibility};
@@ -25,7 +25,7 @@
 /// sent only within the zone.
 const OTHER_ZONES_GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
 /// The time from a message to its effect at a peer, besides the interval.
-const GOSSIP_DELAY: Duration = Duration::from_millis(30);
+pub(super) const GOSSIP_DELAY: Duration = Duration::from_millis(30);
 /// How often the turns at upstreams with a limit are updated.
 const TURN_INTERVAL: Duration = Duration::from_millis(100);
 /// The longest time between two messages to peers.
@@ -47,6 +47,8 @@
     pub(super) leaving: bool,
     /// The slots that it can reach, of services of which it cannot reach all upstreams.
     pub(super) reaches: HashMap<id::Service, u32>,
+    /// What it needs of other availability zones.
+    pub(super) needs: Vec<Need>,
     admitted: HashMap<id::Team, u64>,
     /// The complete answers that it has passed on.
     answers: HashMap<id::Service, u64>,
@@ -104,6 +106,7 @@
             is_silent: false,
             leaving: gossip.leaving,
             reaches: gossip.reaches.into_iter().map(|r| (r.service, r.slots)).collect(),
+            needs: gossip.needs,
             admitted: gossip.admitted.into_iter().collect(),
             answers: gossip.dangers.answers.iter().cloned().collect(),
         };
@@ -132,7 +135,8 @@
     }
 
     /// Counts what another zone admitted by the digest of one of its relays.
-    fn received_digest(&mut self, now: Instant, gossip: Gossip) {
+    fn received_digest(&mut self, now: Instant, mut gossip: Gossip) {
+        self.receive_spill(now, &mut gossip);
         let Some(digest) = gossip.digest else { return };
         let is_new = gossip.age < self.quota.window();
         let is_first = !self.is_counted_by_relays(&gossip.zone);
@@ -178,6 +182,7 @@
             is_silent: true,
             leaving: false,
             reaches: HashMap::new(),
+            needs: vec![],
             admitted: HashMap::new(),
             answers: HashMap::new(),
         });
@@ -196,15 +201,17 @@
     /// Whether this instance polls the shared store: where many serve, only a
     /// few of each availability zone do.
     pub fn is_poller(&self) -> bool {
-        if self.is_full_mesh() {
-            return true;
-        }
+        self.is_full_mesh() || self.preferred_peers() < POLLERS_PER_ZONE
+    }
+
+    /// The peers of this zone that poll the shared store rather than this instance.
+    pub(super) fn preferred_peers(&self) -> usize {
         let Location { instance, zone } = &self.options.location;
         let own = stable_hash(instance.as_str());
         let is_preferred = |(id, peer): &(&id::Instance, &Peer)| {
             peer.zone == *zone && !peer.is_silent && !peer.leaving && stable_hash(id.as_str()) < own
         };
-        self.peers.iter().filter(is_preferred).count() < POLLERS_PER_ZONE
+        self.peers.iter().filter(is_preferred).count()
     }
 
     pub(super) fn expire_peers(&mut self, now: Instant) {
@@ -328,6 +335,7 @@
     fn send_gossip(&mut self, now: Instant, audience: Audience, age: Duration) {
         self.sequence += 1;
         let has_loads = audience != Audience::OtherZones;
+        let digest = (!has_loads).then(|| self.digest(now));
         let (begun, asked) = if has_loads { self.streams.message(now) } else { (vec![], vec![]) };
         let gossip = Gossip {
             from: self.options.location.instance.clone(),
@@ -336,28 +344,32 @@
             age,
             sequence: self.sequence,
             leaving: self.is_stopping,
-            loads: if has_loads { self.fleet.loads() } else { vec![] },
+            loads: if has_loads { self.zone_loads() } else { self.borrowed_loads() },
             admitted: self.quota.admitted().map(|(t, c)| (t.clone(), c)).collect(),
-            digest: (audience == Audience::OtherZones).then(|| self.digest()),
+            digest,
             leaving_upstreams: self.fleet.leaving().cloned().collect(),
             limits: self.fleet.limits(now),
             dangers: Box::new(self.quarantine.message(now)),
             begun,
             asked,
             reaches: if has_loads { self.reaches() } else { vec![] },
+            needs: if has_loads { self.needs() } else { vec![] },
             watermark: self.watermark,
         };
         self.actions.push(Action::SendGossip { audience, gossip });
     }
 
     /// What this instance reports of its zone to the others.
-    fn digest(&self) -> Digest {
+    fn digest(&mut self, now: Instant) -> Digest {
+        let (needs, offers) = self.spill_digest(now);
         let zone = &self.options.location.zone;
         let peers = || self.peers.values().filter(|peer| peer.zone == *zone);
         Digest {
             instances: peers().count() as u32 + 1,
             silent: peers().filter(|peer| peer.is_silent).count() as u32,
             admitted: self.quota.zone_admitted().map(|(t, c)| (t.clone(), c)).collect(),
+            needs,
+            offers,
         }
     }
 
@@ -374,7 +386,7 @@
     }
 
     /// The shortest time between two messages to the same peers.
-    fn gossip_interval(&self) -> Duration {
+    pub(super) fn gossip_interval(&self) -> Duration {
         let peers = Duration::from_secs(self.visible_peers() as u64);
         MIN_GOSSIP_INTERVAL.max(peers / MAX_MESSAGES_PER_SECOND)
     }
--- a/crates/core/src/entry/scheduler/refusals.rs
+++ b/crates/core/src/entry/scheduler/refusals.rs
@@ -111,7 +111,7 @@
 
 /// The latest time at which a request can be sent, so that its caller has an
 /// answer in time.
-fn latest_start(call: &Call) -> Instant {
+pub(super) fn latest_start(call: &Call) -> Instant {
     let timeout = call.first_byte_deadline.saturating_duration_since(call.arrived);
     let by_wait = call.arrived + timeout.mul_f64(MAX_WAIT_FRACTION);
     let by_margin = call.first_byte_deadline.checked_sub(ANSWER_MARGIN);
--- a/crates/core/src/entry/upstream.rs
+++ b/crates/core/src/entry/upstream.rs
@@ -186,6 +186,11 @@
         of_peers.fold(self.own_running(), u32::saturating_add)
     }
 
+    /// Requests that run on it by what this peer reported.
+    pub(super) fn peer_running(&self, peer: &id::Instance) -> u32 {
+        self.peer_loads.get(peer).map_or(0, |load| load.running)
+    }
+
     /// Requests of this instance that run on it.
     pub fn own_running(&self) -> u32 {
         self.running.len() as u32
@@ -217,6 +222,11 @@
         self.running.get(&request).map(|attempt| attempt.started)
     }
 
+    /// The prompt tokens that are to be processed on it.
+    pub(super) fn prefill_work(&self) -> Tokens {
+        Tokens(self.prefill())
+    }
+
     fn own_prefill(&self) -> u32 {
         let prompts = self.running.values().filter(|r| r.first.is_none()).map(|r| r.prompt.0);
         prompts.fold(0, u32::saturating_add)
@@ -467,6 +477,11 @@
         }
     }
 
+    /// Whether its slots are all that limits it.
+    pub(super) fn is_limited_by_slots(&self) -> bool {
+        self.limit().is_none() && self.rejection_limit.per_second().is_none()
+    }
+
     /// Updates the load of a peer.
     pub(super) fn update_peer(&mut self, from: &id::Instance, load: &gossip::Load, now: Instant) {
         self.pace.merge(&load.pace);
--- a/crates/core/tests/entry/foreign.rs
+++ b/crates/core/tests/entry/foreign.rs
@@ -64,7 +64,7 @@
 
 fn digest() -> impl Strategy<Value = Option<Digest>> {
     let digest = (0..10_001u32, 0..10_001u32, number()).prop_map(|(instances, silent, total)| {
-        Digest { instances, silent, admitted: vec![(name("a"), total)] }
+        Digest { instances, silent, admitted: vec![(name("a"), total)], ..Digest::default() }
     });
     proptest::option::of(digest)
 }
@@ -160,6 +160,7 @@
             begun: vec![],
             asked: vec![],
             reaches: vec![Reach { service: name("models"), slots: sequence as u32 }],
+            needs: vec![],
             watermark,
         }
     })
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -14,5 +14,6 @@
 mod repeats;
 mod resumptions;
 mod site;
+mod spill;
 mod watermark;
 mod zones;
--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -97,6 +97,8 @@
     /// Those whose first attempt began to be answered.
     pub begun: u32,
     pub whole: u32,
+    /// Those whose first event came by their latency target.
+    pub in_time: u32,
 }
 
 impl Tally {
@@ -106,6 +108,7 @@
             sent: self.sent - before.sent,
             begun: self.begun - before.begun,
             whole: self.whole - before.whole,
+            in_time: self.in_time - before.in_time,
         }
     }
 }
@@ -187,6 +190,17 @@
     pub rejection_limit: Option<u32>,
     /// When each engine rejected requests for want of room.
     pub rejections: Vec<(Instant, usize)>,
+    /// Whether engines reject what they have no room for.
+    pub has_full_engines: bool,
+    /// Between these zones no gossip arrives.
+    pub partitioned: BTreeSet<(usize, usize)>,
+    /// How many times slower the engines of a zone are.
+    pub slowness: BTreeMap<usize, u32>,
+    /// The most needs, offers and loads in one digest.
+    pub max_spill_entries: usize,
+    /// How many requests engines of another zone than the instance's rejected for want of
+    /// room.
+    pub foreign_rejections: usize,
     /// The instances that have no paths to any engine.
     pub cut: BTreeSet<usize>,
     /// How often an instance tried to reach an engine that it could not reach.
@@ -234,6 +248,11 @@
             rejected: 0.0,
             rejection_limit: None,
             rejections: vec![],
+            has_full_engines: false,
+            partitioned: BTreeSet::new(),
+            slowness: BTreeMap::new(),
+            max_spill_entries: 0,
+            foreign_rejections: 0,
             cut: BTreeSet::new(),
             unreached: 0,
             store: Store::default(),
@@ -380,6 +399,19 @@
         name(if engine.is_multiple_of(2) { "v1" } else { "v2" })
     }
 
+    /// Requests that instances have sent to engines that other zones offered.
+    pub fn spilled(&self) -> u64 {
+        self.instances.iter().map(|(_, scheduler)| scheduler.spilled()).sum()
+    }
+
+    /// Sends a request to an instance of a zone.
+    pub fn request_in_zone(&mut self, zone: usize, kind: &'static str) {
+        let instances = (self.size.instances - zone).div_ceil(self.size.zones);
+        let index = (self.chance() * instances as f64) as usize;
+        let index = index.min(instances - 1) * self.size.zones + zone;
+        self.request_to(index, kind, &[]);
+    }
+
     /// Sends a request to this instance.
     pub fn request_to(&mut self, index: usize, kind: &'static str, parts: &[u64]) {
         self.order += 1;
@@ -544,9 +576,9 @@
         match event {
             Event::FirstByte(request) => {
                 let Some(waiting) = self.waiting.get(&(instance, *request)) else { return };
-                if waiting.attempts == 1 {
-                    self.tallies.entry(waiting.kind).or_default().begun += 1;
-                }
+                let tally = self.tallies.entry(waiting.kind).or_default();
+                tally.begun += u32::from(waiting.attempts == 1);
+                tally.in_time += u32::from(self.now <= waiting.call.latency_target);
             }
             Event::Ended(request, Ended::Whole { .. }) => {
                 let Some(waiting) = self.waiting.remove(&(instance, *request)) else { return };
@@ -580,13 +612,22 @@
                     self.read_store(index);
                 }
                 Action::RecordStreams(begun) => self.store.record(begun),
-                Action::UpdateWatermark(_) => {}
+                Action::UpdateWatermark(_) | Action::ReportSpill(_) => {}
             }
         }
     }
 
     fn gossip(&mut self, from: usize, audience: Audience, gossip: &Gossip) {
+        if let Some(digest) = &gossip.digest {
+            let entries = digest.needs.len() + digest.offers.len() + gossip.loads.len();
+            self.max_spill_entries = self.max_spill_entries.max(entries);
+        }
+        let zones = self.size.zones;
         for to in (0..self.size.instances).filter(|to| *to != from) {
+            let link = ((from % zones).min(to % zones), (from % zones).max(to % zones));
+            if self.partitioned.contains(&link) {
+                continue;
+            }
             let is_own_zone = self.zone(from) == self.zone(to);
             let is_addressed = match audience {
                 Audience::Everyone => true,
@@ -673,11 +714,13 @@
             return self.push(DELAY, instance, Due::Event(Box::new(event), incarnation));
         }
         let is_full = self.engines[engine].runs.len() >= SLOTS as usize;
-        if self.rejection_limit.is_some() && is_full {
+        if (self.has_full_engines || self.rejection_limit.is_some()) && is_full {
             return self.reject_for_room(instance, request, engine);
         }
         let (least, more) = FIRST_TOKEN_MS;
-        let first_at = self.now + ms(least) + ms(more).mul_f64(self.chance());
+        let slowness = self.slowness.get(&(engine % self.size.zones)).copied().unwrap_or(1);
+        let to_first = (ms(least) + ms(more).mul_f64(self.chance())) * slowness;
+        let first_at = self.now + to_first;
         let (sent, has_begun) = (self.now, false);
         let run = Run { instance, incarnation, request, is_deadly, sent, first_at, has_begun };
         self.engines[engine].runs.push(run);
@@ -692,6 +735,8 @@
         let event = Event::Ended(request, Ended::NotRun { misdirected: false });
         self.push(DELAY, instance, Due::Event(Box::new(event), incarnation));
         self.rejections.push((self.now, engine));
+        let is_foreign = instance % self.size.zones != engine % self.size.zones;
+        self.foreign_rejections += usize::from(is_foreign);
         let is_recent = |(at, of): &&(Instant, usize)| {
             *of == engine && self.now.saturating_duration_since(*at) < ms(1_000)
         };
@@ -771,6 +816,7 @@
             let Registration { id, incarnation, .. } = self.engines[index].registration.clone();
             let rate = self.limits.get(&index).copied();
             let rejections = self.rejection_notice(index);
+            let slowness = self.slowness.get(&(index % self.size.zones)).copied().unwrap_or(1);
             let notice =
                 |sent| Event::LimitStated { upstream: id.clone(), incarnation, rate, sent };
             self.engines[index].runs.retain_mut(|run| {
@@ -781,7 +827,7 @@
                     events.push((run.instance, run.incarnation, rejections.clone()));
                     events.push((run.instance, run.incarnation, Event::FirstByte(run.request)));
                 }
-                let has_ended = now >= run.first_at + ANSWER_TIME;
+                let has_ended = now >= run.first_at + ANSWER_TIME * slowness;
                 if has_ended {
                     let whole = Ended::Whole { tokens: Tokens(100) };
                     let event = Event::Ended(run.request, whole);
--- a/crates/core/tests/entry/random.rs
+++ b/crates/core/tests/entry/random.rs
@@ -70,6 +70,7 @@
             | Action::ReadBaselines
             | Action::ReadStreams
             | Action::RecordStreams(_)
+            | Action::ReportSpill(_)
             | Action::SetBaseline(_)
             | Action::UpdateWatermark(_)
             | Action::SendGossip { .. } => {}
--- a/crates/core/tests/entry/site.rs
+++ b/crates/core/tests/entry/site.rs
@@ -146,6 +146,7 @@
             begun: vec![],
             asked: vec![],
             reaches: vec![],
+            needs: vec![],
             watermark: Watermark::default(),
         }
     }
--- a/crates/core/tests/entry/zones.rs
+++ b/crates/core/tests/entry/zones.rs
@@ -29,7 +29,12 @@
             incarnation: Incarnation(1),
             sequence: self.sequence,
             zone: name("z2"),
-            digest: Digest { instances: 40, silent: 1, admitted: vec![(name("a"), total)] },
+            digest: Digest {
+                instances: 40,
+                silent: 1,
+                admitted: vec![(name("a"), total)],
+                ..Digest::default()
+            },
             is_new: false,
         }
     }
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -9,8 +9,8 @@
 use bytes::BytesMut;
 use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::gossip::{
-    Answered, Begun, Cause, Crash, Dangers, Digest, Gossip, Leaving, Limit, Load, Lost,
-    Quarantined, Reach, Suspect,
+    Answered, Begun, Cause, Crash, Dangers, Digest, Gossip, Leaving, Limit, Load, Lost, Need,
+    Offer, Quarantined, Reach, Suspect,
 };
 use rosemarypond_core::entry::pace::Pace;
 use rosemarypond_core::entry::scheduler::{Audience, Event};
@@ -31,6 +31,9 @@
 /// The most instances of a zone that a digest can state.
 const MAX_ZONE_INSTANCES: u32 = 10_000;
 
+/// The most slots that an offer can state; a receiver computes a hash for each.
+const MAX_OFFERED_SLOTS: u32 = 256;
+
 /// The address and zone of a peer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct Peer {
@@ -133,6 +136,8 @@
         instances: digest.instances,
         silent: digest.silent,
         admitted: encode_admitted(digest.admitted),
+        needs: digest.needs.into_iter().map(encode_need).collect(),
+        offers: digest.offers.into_iter().map(encode_offer).collect(),
     };
     let dangers = *gossip.dangers;
     let answers =
@@ -165,6 +170,7 @@
         begun: gossip.begun.into_iter().map(encode_begun).collect(),
         asked: encode_streams(gossip.asked),
         reaches: gossip.reaches.into_iter().map(encode_reach).collect(),
+        needs: gossip.needs.into_iter().map(encode_need).collect(),
     }
 }
 
@@ -219,6 +225,40 @@
     Some(Reach { service: reach.service.parse().ok()?, slots: reach.slots })
 }
 
+fn encode_need(need: Need) -> wire::Need {
+    wire::Need { service: need.service.into(), waiting: need.waiting, slots: need.slots }
+}
+
+fn decode_need(need: wire::Need) -> Option<Need> {
+    let service = need.service.parse().ok()?;
+    Some(Need { service, waiting: need.waiting, slots: need.slots })
+}
+
+fn encode_offer(offer: Offer) -> wire::Offer {
+    wire::Offer {
+        upstream: offer.upstream.into(),
+        zone: offer.zone.into(),
+        slots: offer.slots,
+        prefill_us: offer.pace.prefill_us as f32,
+        token_us: offer.pace.token_us as f32,
+        seen: offer.pace.observations,
+    }
+}
+
+/// Decodes an offer; returns `None` where it is not valid.
+fn decode_offer(offer: wire::Offer) -> Option<Offer> {
+    let is_finite = offer.prefill_us.is_finite() && offer.token_us.is_finite();
+    let pace = Pace {
+        prefill_us: f64::from(offer.prefill_us).max(0.0),
+        token_us: f64::from(offer.token_us).max(0.0),
+        observations: offer.seen,
+        ..Pace::default()
+    };
+    let upstream = offer.upstream.parse().ok().filter(|_| is_finite)?;
+    let slots = offer.slots.min(MAX_OFFERED_SLOTS);
+    Some(Offer { upstream, zone: offer.zone.parse().ok()?, slots, pace })
+}
+
 fn decode_streams(streams: Vec<u64>) -> Vec<id::Stream> {
     streams.into_iter().map(id::Stream).collect()
 }
@@ -345,6 +385,8 @@
         instances: digest.instances.min(MAX_ZONE_INSTANCES),
         silent: digest.silent.min(digest.instances),
         admitted: decode_admitted(digest.admitted),
+        needs: digest.needs.into_iter().filter_map(decode_need).collect(),
+        offers: digest.offers.into_iter().filter_map(decode_offer).collect(),
     };
     let dangers = Box::new(decode_dangers(&mut message));
     Some(Gossip {
@@ -363,6 +405,7 @@
         begun: message.begun.into_iter().filter_map(decode_begun).collect(),
         asked: decode_streams(message.asked),
         reaches: message.reaches.into_iter().filter_map(decode_reach).collect(),
+        needs: message.needs.into_iter().filter_map(decode_need).collect(),
         watermark: Watermark {
             era: Era(message.era),
             plan: Version(message.plan),
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -10,11 +10,11 @@
 use rosemarypond_core::entry::call::{Call, Ended, Origin, Reason};
 use rosemarypond_core::entry::gossip::{Begun, Cause, Gossip};
 use rosemarypond_core::entry::node::Node;
-use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler};
+use rosemarypond_core::entry::scheduler::{Action, Audience, Event, Options, Scheduler, Spill};
 use rosemarypond_core::entry::upstream::Registration;
 use rosemarypond_core::entry::watermark::Watermark;
 use rosemarypond_core::id;
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use stakker::{actor, ret_nop};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
@@ -204,6 +204,7 @@
                 warn!(self.0.log, "a request is quarantined, as it crashes upstreams";
                     "fingerprint" => %fingerprint);
             }
+            Action::ReportSpill(spill) => self.report_spill(spill),
             Action::UpdateWatermark(watermark) => drop(self.0.watermark.send_replace(watermark)),
             // The receiver lives as long as the thread.
             Action::SendGossip { audience, gossip } => {
@@ -212,6 +213,19 @@
         }
     }
 
+    fn report_spill(&self, spill: Spill) {
+        match spill {
+            Spill::Lending(is_lending) => {
+                info!(self.0.log, "lending of engines to other zones changed";
+                    "lending" => is_lending);
+            }
+            Spill::Borrowing(is_borrowing) => {
+                info!(self.0.log, "use of engines of other zones changed";
+                    "borrowing" => is_borrowing);
+            }
+        }
+    }
+
     fn send_directive(&self, request: id::Request, directive: Directive) {
         if let Some(sender) = self.0.senders.borrow().get(&request) {
             // The task may have ended already; it reported that when it dropped its
--- a/crates/wire/tests/builds.rs
+++ b/crates/wire/tests/builds.rs
@@ -41,7 +41,14 @@
         directory_at_ms: 15,
         era: 16,
         leaving_upstreams: vec![Leaving { upstream: "e2".into(), incarnation: 17 }],
-        digest: Some(Digest { instances: 18, silent: 19, admitted: admitted() }),
+        digest: Some(Digest {
+            instances: 18,
+            silent: 19,
+            admitted: admitted(),
+            // That build does not know the fields of spillover.
+            needs: vec![],
+            offers: vec![],
+        }),
         crashes: vec![Crash {
             upstream: "e3".into(),
             incarnation: 20,
@@ -71,6 +78,7 @@
         begun: vec![Begun { release: "v1".into(), streams: vec![35, 36] }],
         asked: vec![37],
         reaches: vec![Reach { service: "s".into(), slots: 38 }],
+        needs: vec![],
     }
 }
 
