--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -34,6 +34,8 @@
     pub first_seconds: Histogram,
     /// Open connections from callers.
     pub connections: Gauge,
+    /// Requests sent to engines that other zones offered, since the start.
+    pub spilled_requests: Gauge,
     /// Memory for the bodies of requests that are held, in bytes.
     pub held_body_bytes: Gauge,
     /// Memory for the bodies of responses that are read, in bytes.
@@ -56,6 +58,7 @@
             early_answers: Counter::default(),
             first_seconds: Histogram::new(exponential_buckets(0.01, 2.0, 11)),
             connections: Gauge::default(),
+            spilled_requests: Gauge::default(),
             held_body_bytes: Gauge::default(),
             held_response_bytes: Gauge::default(),
             invalid_configurations: Counter::default(),
@@ -87,6 +90,11 @@
         );
         registry.register("first_seconds", "First byte or event", metrics.first_seconds.clone());
         registry.register("connections", "Open connections", metrics.connections.clone());
+        registry.register(
+            "spilled_requests",
+            "Requests sent to engines that other zones offered, since the start",
+            metrics.spilled_requests.clone(),
+        );
         registry.register(
             "held_body_bytes",
             "Memory for the bodies of requests that are held",
