Box the gossip in Action and keep to the minimum Rust version

Cause: clippy refused the size of Action::SendGossip, which the new fields made too large, and extract_if, which is newer than the minimum supported version. Change: the gossip is boxed; silent relays are removed with retain. Result: the core's tests type-check; clippy of the workspace has not been run again.

--- a/crates/core/src/entry/scheduler/event.rs
+++ b/crates/core/src/entry/scheduler/event.rs
@@ -152,7 +152,7 @@
         /// Which peers receive it.
         audience: Audience,
         /// The state.
-        gossip: Gossip,
+        gossip: Box<Gossip>,
     },
 }
 
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -356,7 +356,7 @@
             needs: if has_loads { self.needs() } else { vec![] },
             watermark: self.watermark,
         };
-        self.actions.push(Action::SendGossip { audience, gossip });
+        self.actions.push(Action::SendGossip { audience, gossip: Box::new(gossip) });
     }
 
     /// What this instance reports of its zone to the others.
--- a/crates/core/src/entry/spill.rs
+++ b/crates/core/src/entry/spill.rs
@@ -93,8 +93,10 @@
     /// Removes the relays from which nothing was received for `timeout`.
     pub fn expire(&mut self, timeout: Duration, now: Instant) -> Vec<id::Instance> {
         let is_silent = |r: &Relay| now.saturating_duration_since(r.received_at) >= timeout;
-        let silent = self.0.extract_if(.., |_, relay| is_silent(relay));
-        silent.map(|(_, relay)| relay.id).collect()
+        let silent: Vec<_> =
+            self.0.values().filter(|r| is_silent(r)).map(|r| r.id.clone()).collect();
+        self.0.retain(|_, relay| !is_silent(relay));
+        silent
     }
 }
 
--- a/crates/core/tests/entry/limits.rs
+++ b/crates/core/tests/entry/limits.rs
@@ -136,7 +136,7 @@
                 match action {
                     Action::Refuse { reason: Reason::Quota, .. } => is_admitted = false,
                     Action::SendGossip { gossip, .. } => {
-                        in_flight.push_back((now + ms(100), gossip))
+                        in_flight.push_back((now + ms(100), *gossip))
                     }
                     _ => {}
                 }
--- a/crates/edge/src/runtime.rs
+++ b/crates/edge/src/runtime.rs
@@ -208,7 +208,7 @@
             Action::UpdateWatermark(watermark) => drop(self.0.watermark.send_replace(watermark)),
             // The receiver lives as long as the thread.
             Action::SendGossip { audience, gossip } => {
-                drop(self.0.gossip.send(Broadcast { audience, gossip }));
+                drop(self.0.gossip.send(Broadcast { audience, gossip: *gossip }));
             }
         }
     }
