--- a/crates/core/benches/scheduler.rs
+++ b/crates/core/benches/scheduler.rs
@@ -100,9 +100,10 @@
             reaches: vec![],
             trials: vec![],
             condemned: vec![],
+            needs: vec![],
             watermark: Watermark::default(),
         };
-        self.handle(Event::Received(gossip));
+        self.handle(Event::Received(Box::new(gossip)));
     }
 
     fn call(&mut self) -> Call {
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -23,6 +23,7 @@
 pub mod rollout;
 pub mod scheduler;
 pub mod slowdown;
+pub mod spill;
 pub mod streams;
 pub mod upstream;
 pub mod watermark;
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod refusals;
 mod resumptions;
 mod rollouts;
+mod spill;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -30,7 +31,7 @@
 use crate::hash::stable_hash;
 use crate::id;
 
-pub use event::{Action, Audience, Event};
+pub use event::{Action, Audience, Event, Spill};
 use peers::Peer;
 use refusals::retry_after;
 use rollouts::Rollouts;
@@ -106,6 +107,7 @@
     population: Population,
     /// The peers to which nothing is delegated before this time.
     paused_delegates: BTreeMap<id::Instance, Instant>,
+    spill: spill::State,
     watermark: Watermark,
     started: Option<Instant>,
     sequence: u64,
@@ -142,6 +144,7 @@
             zones: Zones::default(),
             population: Population { instances: 1, silent: 0, age: Duration::ZERO },
             paused_delegates: BTreeMap::new(),
+            spill: spill::State::default(),
             watermark: Watermark::default(),
             started: None,
             sequence: 0,
@@ -173,6 +176,7 @@
                 self.budget.set_allowance(allowance);
                 self.quota.set_counting(counting);
             }
+            Event::SpillEnabled(is_enabled) => self.enable_spill(is_enabled),
             Event::Registered(registration) => {
                 self.streams.record_release(&registration, now);
                 self.fleet.register(registration);
@@ -203,7 +207,7 @@
             Event::Warming(upstream, time) => self.warming(now, upstream, time),
             Event::PeerRegistered(peer, zone) => self.peer_registered(now, peer, zone),
             Event::StoreRead(watermark) => self.update_watermark(&watermark),
-            Event::Received(gossip) => self.received(now, gossip),
+            Event::Received(gossip) => self.received(now, *gossip),
             Event::Stop => self.stop(now),
             Event::Close => self.close(now),
             Event::Tick => self.tick(now),
@@ -300,6 +304,7 @@
         let least_first = self.fleet.least_time_to_first(&call, &excluded, now);
         let waiting = Waiting { call, excluded, least_first };
         self.backlog.push(waiting);
+        self.spill_rejected(now, id);
         self.dispatch_waiting(now);
         if self.is_closed {
             self.refuse_waiting(now);
@@ -394,6 +399,7 @@
         self.probe(now);
         self.expire(now);
         self.dispatch_waiting(now);
+        self.spill(now);
         self.gossip(now);
     }
 
--- a/crates/core/src/entry/scheduler/refusals.rs
+++ b/crates/core/src/entry/scheduler/refusals.rs
@@ -110,7 +110,7 @@
 
 /// The latest time at which a request can be sent, so that its caller has an
 /// answer in time.
-fn latest_start(waiting: &Waiting) -> Instant {
+pub(super) fn latest_start(waiting: &Waiting) -> Instant {
     let Waiting { call, least_first, .. } = waiting;
     let timeout = call.first_byte_deadline.saturating_duration_since(call.arrived);
     let by_wait = call.arrived + timeout.mul_f64(MAX_WAIT_FRACTION);
--- a/crates/core/src/entry/scheduler/rollouts.rs
+++ b/crates/core/src/entry/scheduler/rollouts.rs
@@ -317,7 +317,7 @@
     }
 
     /// What this instance sees of the engines of a service.
-    fn engines(&self, service: &id::Service, to: &id::Release) -> Engines {
+    fn engines_of(&self, service: &id::Service, to: &id::Release) -> Engines {
         let mut engines = Engines::default();
         let of_service = |u: &&Upstream| u.registration.service == *service;
         for upstream in self.fleet.iter().filter(of_service) {
@@ -340,7 +340,7 @@
         let services: Vec<_> = self.rollouts.known.keys().cloned().collect();
         for service in services {
             let Some(rollout) = self.rollouts.known.get(&service) else { continue };
-            let engines = self.engines(&service, rollout.to());
+            let engines = self.engines_of(&service, rollout.to());
             let own = self.own_tally(&service, &rollout.ledger.own, now);
             let Some(rollout) = self.rollouts.known.get_mut(&service) else { continue };
             let was_condemned = rollout.is_condemned();
--- a/crates/core/tests/entry/foreign.rs
+++ b/crates/core/tests/entry/foreign.rs
@@ -74,7 +74,7 @@
 
 fn digest() -> impl Strategy<Value = Option<Digest>> {
     let digest = (0..10_001u32, 0..10_001u32, number()).prop_map(|(instances, silent, total)| {
-        Digest { instances, silent, admitted: vec![(name("a"), total)], trials: vec![] }
+        Digest { instances, silent, admitted: vec![(name("a"), total)], ..Digest::default() }
     });
     proptest::option::of(digest)
 }
@@ -172,6 +172,7 @@
             reaches: vec![Reach { service: name("models"), slots: sequence as u32 }],
             trials: vec![],
             condemned: vec![],
+            needs: vec![],
             watermark,
         }
     })
@@ -211,7 +212,7 @@
         for (index, call) in calls.into_iter().enumerate() {
             site.now += ms(50);
             if let Some(message) = messages.next() {
-                site.handle(Event::Received(message));
+                site.handle(Event::Received(Box::new(message)));
             }
             let id = index as u64 + 1;
             let shifted = site.now.saturating_duration_since(call.arrived);
--- a/crates/core/tests/entry/limits.rs
+++ b/crates/core/tests/entry/limits.rs
@@ -136,7 +136,7 @@
                 match action {
                     Action::Refuse { reason: Reason::Quota, .. } => is_admitted = false,
                     Action::SendGossip { gossip, .. } => {
-                        in_flight.push_back((now + ms(100), gossip))
+                        in_flight.push_back((now + ms(100), *gossip))
                     }
                     _ => {}
                 }
@@ -146,7 +146,7 @@
         while in_flight.front().is_some_and(|(due, _)| *due <= now) {
             let (_, gossip) = in_flight.pop_front().expect("a message is in flight");
             for scheduler in &mut instances {
-                scheduler.handle(now, Event::Received(*gossip.clone()));
+                scheduler.handle(now, Event::Received(Box::new(gossip.clone())));
             }
         }
     }
@@ -180,7 +180,7 @@
     assert_eq!(refusals(&site.arrive(early)), [(1, Reason::Quota)]);
     for peer in 0..19 {
         let gossip = site.gossip(&format!("b{peer}"), 1);
-        site.handle(Event::Received(gossip));
+        site.handle(Event::Received(Box::new(gossip)));
         if peer == 0 {
             // One peer makes only its own part available.
             let early = call(&site, 2);
@@ -240,10 +240,10 @@
     site.register("e1", 4);
     site.handle(Event::Configured(Arc::new(plan(Some(LIMIT)))));
     let first = site.gossip("a2", 1);
-    site.handle(Event::Received(first));
+    site.handle(Event::Received(Box::new(first)));
     let mut second = site.gossip("a2", 2);
     second.admitted.push((name("a"), 200));
-    site.handle(Event::Received(second));
+    site.handle(Event::Received(Box::new(second)));
     let call = Call { team: Some(name("a")), cost: Tokens(50), ..site.call(1) };
     assert_eq!(refusals(&site.arrive(call)), [(1, Reason::Quota)]);
 }
@@ -255,11 +255,11 @@
     site.handle(Event::Configured(Arc::new(plan(Some(LIMIT)))));
     let mut old = site.gossip("a2", 1);
     old.admitted.push((name("a"), 200));
-    site.handle(Event::Received(old.clone()));
+    site.handle(Event::Received(Box::new(old.clone())));
     let call = |site: &Site, id| Call { team: Some(name("a")), cost: Tokens(50), ..site.call(id) };
     let first = call(&site, 1);
     assert!(refusals(&site.arrive(first)).is_empty());
-    site.handle(Event::Received(Gossip { from: name("a3"), age: ms(500), ..old }));
+    site.handle(Event::Received(Box::new(Gossip { from: name("a3"), age: ms(500), ..old })));
     let second = call(&site, 2);
     assert_eq!(refusals(&site.arrive(second)), [(2, Reason::Quota)]);
 }
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -17,5 +17,6 @@
 mod rollouts;
 mod site;
 mod speed;
+mod spill;
 mod watermark;
 mod zones;
--- a/crates/core/tests/entry/network.rs
+++ b/crates/core/tests/entry/network.rs
@@ -101,6 +101,8 @@
     /// Those whose first attempt began to be answered.
     pub begun: u32,
     pub whole: u32,
+    /// Those whose first event came by their latency target.
+    pub in_time: u32,
 }
 
 impl Tally {
@@ -110,6 +112,7 @@
             sent: self.sent - before.sent,
             begun: self.begun - before.begun,
             whole: self.whole - before.whole,
+            in_time: self.in_time - before.in_time,
         }
     }
 }
@@ -224,6 +227,17 @@
     pub rejection_limit: Option<u32>,
     /// When each engine rejected requests for want of room.
     pub rejections: Vec<(Instant, usize)>,
+    /// Whether engines reject what they have no room for.
+    pub has_full_engines: bool,
+    /// Between these zones no gossip arrives.
+    pub partitioned: BTreeSet<(usize, usize)>,
+    /// How many times slower the engines of a zone are.
+    pub slowness: BTreeMap<usize, u32>,
+    /// The most needs, offers and loads in one digest.
+    pub max_spill_entries: usize,
+    /// How many requests engines of another zone than the instance's rejected for want of
+    /// room.
+    pub foreign_rejections: usize,
     /// The instances that have no paths to any engine.
     pub cut: BTreeSet<usize>,
     /// How often an instance tried to reach an engine that it could not reach.
@@ -234,7 +248,7 @@
     /// The same with so many requests on the engine at least.
     pub failing_from: usize,
     /// By how much longer engines of version v2 take.
-    pub slowness: f64,
+    pub version_slowness: f64,
     /// The instances that handle nothing.
     pub paused: BTreeSet<usize>,
     /// Whether the messages between zones are lost.
@@ -282,12 +296,17 @@
             rejected: 0.0,
             rejection_limit: None,
             rejections: vec![],
+            has_full_engines: false,
+            partitioned: BTreeSet::new(),
+            slowness: BTreeMap::new(),
+            max_spill_entries: 0,
+            foreign_rejections: 0,
             cut: BTreeSet::new(),
             unreached: 0,
             store: Store::default(),
             failing: 0.0,
             failing_from: 0,
-            slowness: 1.0,
+            version_slowness: 1.0,
             paused: BTreeSet::new(),
             is_split: false,
             orders: 0,
@@ -476,6 +495,19 @@
         name(if engine.is_multiple_of(2) { "v1" } else { "v2" })
     }
 
+    /// Requests that instances have sent to engines that other zones offered.
+    pub fn spilled(&self) -> u64 {
+        self.instances.iter().map(|(_, scheduler)| scheduler.spilled()).sum()
+    }
+
+    /// Sends a request to an instance of a zone.
+    pub fn request_in_zone(&mut self, zone: usize, kind: &'static str) {
+        let instances = (self.size.instances - zone).div_ceil(self.size.zones);
+        let index = (self.chance() * instances as f64) as usize;
+        let index = index.min(instances - 1) * self.size.zones + zone;
+        self.request_to(index, kind, &[]);
+    }
+
     /// Sends a request to this instance.
     pub fn request_to(&mut self, index: usize, kind: &'static str, parts: &[u64]) {
         self.order += 1;
@@ -592,7 +624,7 @@
                 continue;
             }
             match due {
-                Due::Gossip(gossip) => self.handle(to, Event::Received(*gossip)),
+                Due::Gossip(gossip) => self.handle(to, Event::Received(gossip)),
                 Due::Delegated(waiting) => {
                     let Waiting { kind, call, delegated_by, .. } = *waiting;
                     self.accept(to, kind, call, delegated_by);
@@ -646,9 +678,9 @@
         match event {
             Event::FirstByte(request) => {
                 let Some(waiting) = self.waiting.get(&(instance, *request)) else { return };
-                if waiting.attempts == 1 {
-                    self.tallies.entry(waiting.kind).or_default().begun += 1;
-                }
+                let tally = self.tallies.entry(waiting.kind).or_default();
+                tally.begun += u32::from(waiting.attempts == 1);
+                tally.in_time += u32::from(self.now <= waiting.call.latency_target);
             }
             Event::Ended(request, Ended::Whole { .. }) => {
                 let Some(waiting) = self.waiting.remove(&(instance, *request)) else { return };
@@ -692,6 +724,7 @@
                     }
                 }
                 Action::UpdateWatermark(_)
+                | Action::ReportSpill(_)
                 | Action::ReportRollout { .. }
                 | Action::ReportCondemned { .. } => {}
             }
@@ -699,7 +732,16 @@
     }
 
     fn gossip(&mut self, from: usize, audience: Audience, gossip: &Gossip) {
+        if let Some(digest) = &gossip.digest {
+            let entries = digest.needs.len() + digest.offers.len() + gossip.loads.len();
+            self.max_spill_entries = self.max_spill_entries.max(entries);
+        }
+        let zones = self.size.zones;
         for to in (0..self.size.instances).filter(|to| *to != from) {
+            let link = ((from % zones).min(to % zones), (from % zones).max(to % zones));
+            if self.partitioned.contains(&link) {
+                continue;
+            }
             let is_own_zone = self.zone(from) == self.zone(to);
             let is_addressed = match audience {
                 Audience::Everyone => true,
@@ -796,13 +838,15 @@
             return self.push(DELAY, instance, Due::Event(Box::new(event), incarnation));
         }
         let is_full = self.engines[engine].runs.len() >= SLOTS as usize;
-        if self.rejection_limit.is_some() && is_full {
+        if (self.has_full_engines || self.rejection_limit.is_some()) && is_full {
             return self.reject_for_room(instance, request, engine);
         }
         let (least, more) = FIRST_TOKEN_MS;
         let is_new = Self::release_of(engine) == name("v2");
-        let slowness = if is_new { self.slowness } else { 1.0 };
-        let first_at = self.now + (ms(least) + ms(more).mul_f64(self.chance())).mul_f64(slowness);
+        let slowness = if is_new { self.version_slowness } else { 1.0 };
+        let zone_slowness = self.slowness.get(&(engine % self.size.zones)).copied().unwrap_or(1);
+        let to_first = (ms(least) + ms(more).mul_f64(self.chance())) * zone_slowness;
+        let first_at = self.now + to_first.mul_f64(slowness);
         let is_loaded = self.engines[engine].runs.len() >= self.failing_from;
         let fails = is_new && is_loaded && self.failing > 0.0 && self.chance() < self.failing;
         let (sent, has_begun) = (self.now, false);
@@ -820,6 +864,8 @@
         let event = Event::Ended(request, Ended::NotRun { misdirected: false });
         self.push(DELAY, instance, Due::Event(Box::new(event), incarnation));
         self.rejections.push((self.now, engine));
+        let is_foreign = instance % self.size.zones != engine % self.size.zones;
+        self.foreign_rejections += usize::from(is_foreign);
         let is_recent = |(at, of): &&(Instant, usize)| {
             *of == engine && self.now.saturating_duration_since(*at) < ms(1_000)
         };
@@ -899,6 +945,7 @@
             let Registration { id, incarnation, .. } = self.engines[index].registration.clone();
             let rate = self.limits.get(&index).copied();
             let rejections = self.rejection_notice(index);
+            let slowness = self.slowness.get(&(index % self.size.zones)).copied().unwrap_or(1);
             let notice =
                 |sent| Event::LimitStated { upstream: id.clone(), incarnation, rate, sent };
             self.engines[index].runs.retain_mut(|run| {
@@ -914,7 +961,7 @@
                     events.push((run.instance, run.incarnation, rejections.clone()));
                     events.push((run.instance, run.incarnation, Event::FirstByte(run.request)));
                 }
-                let has_ended = now >= run.first_at + ANSWER_TIME;
+                let has_ended = now >= run.first_at + ANSWER_TIME * slowness;
                 if has_ended {
                     let whole = Ended::Whole { tokens: Tokens(100) };
                     let event = Event::Ended(run.request, whole);
--- a/crates/core/tests/entry/overload.rs
+++ b/crates/core/tests/entry/overload.rs
@@ -397,7 +397,7 @@
             }
             while let Some(entry) = self.due.first_entry().filter(|e| e.key().0 <= self.now) {
                 match entry.remove() {
-                    Due::Gossip(to, gossip) => self.handle(to, Event::Received(*gossip)),
+                    Due::Gossip(to, gossip) => self.handle(to, Event::Received(gossip)),
                     Due::Arrive(caller) => self.arrive(caller),
                 }
             }
--- a/crates/core/tests/entry/placement.rs
+++ b/crates/core/tests/entry/placement.rs
@@ -175,7 +175,7 @@
         };
         let mut gossip = site.gossip(upstream, 1);
         gossip.loads.push(load);
-        site.handle(Event::Received(gossip));
+        site.handle(Event::Received(Box::new(gossip)));
     };
     report(&mut site, "fast", 20.0);
     report(&mut site, "slow", 100.0);
@@ -262,12 +262,12 @@
         observation: None,
     };
     gossip.loads.push(load);
-    site.handle(Event::Received(gossip));
+    site.handle(Event::Received(Box::new(gossip)));
     let call = site.call(1);
     assert!(sends(&site.arrive(call)).is_empty());
     // A message that was received out of order changes nothing.
     let old = site.gossip("a2", 1);
-    assert!(sends(&site.handle(Event::Received(old))).is_empty());
+    assert!(sends(&site.handle(Event::Received(Box::new(old)))).is_empty());
     // The load of a silent peer is dropped.
     assert_eq!(sends(&site.advance(ms(1_600))).len(), 1);
 }
@@ -341,7 +341,7 @@
         leaving_upstreams: vec![leaving("e1", 1), leaving("e2", 7)],
         ..site.gossip("a2", 1)
     };
-    site.handle(Event::Received(gossip));
+    site.handle(Event::Received(Box::new(gossip)));
     site.register("e1", 4);
     let call = site.call(1);
     assert!(sends(&site.arrive(call)).is_empty());
--- a/crates/core/tests/entry/quota.rs
+++ b/crates/core/tests/entry/quota.rs
@@ -192,7 +192,7 @@
                 return;
             }
             let (to, gossip) = entry.remove();
-            self.instances[to].handle(self.now, Event::Received(gossip));
+            self.instances[to].handle(self.now, Event::Received(Box::new(gossip)));
         }
     }
 
--- a/crates/core/tests/entry/rollouts.rs
+++ b/crates/core/tests/entry/rollouts.rs
@@ -335,8 +335,8 @@
     failing_version_is_rolled_back => |_| bad(FEW, |n| n.failing = 0.5);
     failing_version_is_rolled_back_at_many_instances => |_| bad(MANY, |n| n.failing = 0.5);
     rarely_failing_version_is_rolled_back => |_| bad(FEW, |n| n.failing = 0.25);
-    slow_version_is_rolled_back => |_| bad(FEW, |n| n.slowness = 4.0);
-    slow_version_is_rolled_back_at_many_instances => |_| bad(MANY, |n| n.slowness = 4.0);
+    slow_version_is_rolled_back => |_| bad(FEW, |n| n.version_slowness = 4.0);
+    slow_version_is_rolled_back_at_many_instances => |_| bad(MANY, |n| n.version_slowness = 4.0);
     version_that_fails_under_load_is_rolled_back => |_| bad(FEW, |n| {
         n.failing = 0.8;
         n.failing_from = 1;
--- a/crates/core/tests/entry/site.rs
+++ b/crates/core/tests/entry/site.rs
@@ -149,6 +149,7 @@
             reaches: vec![],
             trials: vec![],
             condemned: vec![],
+            needs: vec![],
             watermark: Watermark::default(),
         }
     }
--- a/crates/core/tests/entry/speed.rs
+++ b/crates/core/tests/entry/speed.rs
@@ -298,7 +298,7 @@
                 Audience::OtherZones => !is_own_zone,
             };
             if is_meant {
-                let event = Event::Received(gossip.clone());
+                let event = Event::Received(Box::new(gossip.clone()));
                 self.push(self.now + DELAY, to, Due::Event(Box::new(event)));
             }
         }
@@ -396,7 +396,7 @@
 
 fn receive(site: &mut Site, sequence: u64, loads: Vec<Load>) {
     let gossip = Gossip { loads, ..site.gossip("a2", sequence) };
-    site.handle(Event::Received(gossip));
+    site.handle(Event::Received(Box::new(gossip)));
 }
 
 fn prefill_us(site: &Site, upstream: &str) -> f64 {
--- a/crates/core/tests/entry/watermark.rs
+++ b/crates/core/tests/entry/watermark.rs
@@ -19,7 +19,7 @@
 fn receive(site: &mut Site, indices: impl IntoIterator<Item = usize>, sequence: u64) {
     for index in indices {
         let gossip = site.gossip(&instance(index), sequence);
-        site.handle(Event::Received(gossip));
+        site.handle(Event::Received(Box::new(gossip)));
     }
 }
 
@@ -60,7 +60,7 @@
         directory_at: ms(4_000),
     };
     let gossip = Gossip { watermark, ..site.gossip("a2", 1) };
-    site.scheduler.handle(site.now, Event::Received(gossip.clone()));
+    site.scheduler.handle(site.now, Event::Received(Box::new(gossip.clone())));
     let updated = |actions: Vec<Action>| {
         let update = |action: &Action| match action {
             Action::UpdateWatermark(watermark) => Some(*watermark),
@@ -72,7 +72,7 @@
     // An older version from another peer changes nothing.
     let old = Watermark { plan: Version(2), plan_at: ms(9_000), ..watermark };
     let gossip = Gossip { from: name("a3"), watermark: old, ..gossip };
-    site.scheduler.handle(site.now, Event::Received(gossip));
+    site.scheduler.handle(site.now, Event::Received(Box::new(gossip)));
     assert_eq!(updated(site.scheduler.take_actions()), None);
     site.now += ms(50);
     site.scheduler.handle(site.now, Event::Tick);
@@ -103,20 +103,20 @@
         directory_at: ms(200),
     };
     let gossip = Gossip { watermark: copy, ..site.gossip("a2", 1) };
-    site.handle(Event::Received(gossip));
+    site.handle(Event::Received(Box::new(gossip)));
     let known = Watermark { plan: Version(9), plan_at: ms(0), ..copy };
     assert_eq!(site.scheduler.watermark(), known);
     // What a peer still knows of the era before changes nothing, but for a newer
     // plan that it read there.
     let late = Watermark { plan: Version(10), plan_at: ms(9_000), directory: 90, ..old };
     let gossip = Gossip { watermark: late, ..site.gossip("a3", 1) };
-    site.handle(Event::Received(gossip));
+    site.handle(Event::Received(Box::new(gossip)));
     let known = Watermark { plan: Version(10), ..known };
     assert_eq!(site.scheduler.watermark(), known);
     // A peer of an older build states no era.
     let unknown = Watermark { era: Era(0), plan: Version(3), ..late };
     let gossip = Gossip { watermark: unknown, ..site.gossip("a4", 1) };
-    site.handle(Event::Received(gossip));
+    site.handle(Event::Received(Box::new(gossip)));
     assert_eq!(site.scheduler.watermark(), known);
     // Twice in a row.
     site.handle(Event::StoreRead(Watermark { era: Era(3), ..copy }));
--- a/crates/core/tests/entry/zones.rs
+++ b/crates/core/tests/entry/zones.rs
@@ -33,7 +33,7 @@
                 instances: 40,
                 silent: 1,
                 admitted: vec![(name("a"), total)],
-                trials: vec![],
+                ..Digest::default()
             },
             is_new: false,
         }
@@ -107,7 +107,7 @@
         let mut site = Site::named(&format!("i{index}"));
         for peer in (0..40).filter(|peer| *peer != index) {
             let gossip = site.gossip(&format!("i{peer}"), 1);
-            site.handle(Event::Received(gossip));
+            site.handle(Event::Received(Box::new(gossip)));
         }
         site.now += ms(500);
         site.scheduler.handle(site.now, Event::Tick);
--- a/crates/wire/tests/builds.rs
+++ b/crates/wire/tests/builds.rs
@@ -44,7 +44,15 @@
         directory_at_ms: 15,
         era: 16,
         leaving_upstreams: vec![Leaving { upstream: "e2".into(), incarnation: 17 }],
-        digest: Some(Digest { instances: 18, silent: 19, admitted: admitted(), trials: vec![] }),
+        digest: Some(Digest {
+            instances: 18,
+            silent: 19,
+            admitted: admitted(),
+            // That build does not know these.
+            trials: vec![],
+            needs: vec![],
+            offers: vec![],
+        }),
         crashes: vec![Crash {
             upstream: "e3".into(),
             incarnation: 20,
@@ -77,6 +85,7 @@
         // That build does not know them.
         trials: vec![],
         condemned: vec![],
+        needs: vec![],
     }
 }
 
