--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::admission::Drains;
 use super::backlog::{Backlog, Waiting};
 use super::baseline::Baselines;
 use super::budget::{Allowance, Budget};
@@ -87,6 +88,7 @@
     plan: Arc<Plan>,
     fleet: Fleet,
     backlog: Backlog,
+    drains: Drains,
     quota: Quota,
     budget: Budget,
     quarantine: Quarantine,
@@ -139,6 +141,7 @@
             options,
             plan: Arc::default(),
             backlog: Backlog::default(),
+            drains: Drains::default(),
             held: HashMap::new(),
             peers: BTreeMap::new(),
             zones: Zones::default(),
@@ -301,7 +304,7 @@
             return;
         }
         let (call, excluded) = (held.call.clone(), held.excluded.clone());
-        let least_first = self.fleet.least_time_to_first(&call, &excluded, now);
+        let least_first = self.fleet.least_time_to_first(&call, &excluded, self.visibility(), now);
         let waiting = Waiting { call, excluded, least_first };
         self.backlog.push(waiting);
         self.spill_rejected(now, id);
@@ -370,7 +373,9 @@
     }
 
     fn send(&mut self, now: Instant, id: id::Request, upstream: id::Upstream, expected: Duration) {
-        self.backlog.remove(id);
+        if let Some(waiting) = self.backlog.remove(id) {
+            self.drains.record(&waiting.call.service, now);
+        }
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(known) = self.fleet.get(&upstream) else { return };
         let (registration, running) = (known.registration.clone(), known.running());
@@ -400,6 +405,7 @@
         self.expire(now);
         self.dispatch_waiting(now);
         self.spill(now);
+        self.refuse_hopeless(now);
         self.gossip(now);
     }
 
