--- a/crates/core/src/entry/scheduler/spill.rs
+++ b/crates/core/src/entry/scheduler/spill.rs
@@ -372,7 +372,8 @@
         let own = self.needs();
         let mut needs: BTreeMap<&id::Service, u32> = BTreeMap::new();
         for need in own.iter().chain(self.peer_needs().map(|(_, need)| need)) {
-            *needs.entry(&need.service).or_default() += need.slots;
+            let sum = needs.entry(&need.service).or_default();
+            *sum = sum.saturating_add(need.slots);
         }
         let reserved = |service: &id::Service| {
             let slots = engines.iter().filter(|e| e.service == *service).map(|e| e.slots);
@@ -402,7 +403,8 @@
 
     /// Requests of other zones that run on an upstream.
     fn lent_running(&self, upstream: &Upstream) -> u32 {
-        self.spill.relays.iter().map(|(_, relay)| upstream.peer_running(relay)).sum()
+        let running = self.spill.relays.iter().map(|(_, relay)| upstream.peer_running(relay));
+        running.fold(0, u32::saturating_add)
     }
 
     /// The upstreams of this zone that may be lent.
@@ -422,7 +424,7 @@
                 upstream: u.registration.id.clone(),
                 service: u.registration.service.clone(),
                 slots: u.registration.slots,
-                own: u.running().saturating_sub(reserved + self.lent_running(u)),
+                own: u.running().saturating_sub(reserved.saturating_add(self.lent_running(u))),
                 borrowed: spill.relays.iter().filter_map(of_zone).collect(),
                 pace: u.pace,
             }
