--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -40,8 +40,6 @@
 /// The longest request head that is read, in bytes. It exceeds the longest
 /// accepted URL, so that a longer URL gets status 414.
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// The most open connections of callers.
-const MAX_CONNECTIONS: usize = 16_384;
 /// Idle time after which a caller's connection is probed.
 pub const KEEPALIVE: Duration = Duration::from_secs(10);
 /// How long a caller may leave data unacknowledged before its connection is
@@ -183,8 +181,9 @@
         );
         let poll = settings.poll.0;
         let idle = settings.idle.0;
+        let max_connections = settings.max_connections as usize;
         let gateway = Rc::new(Gateway::new(handle.clone(), settings, operator_api));
-        let http_server = serve(http, gateway.clone(), idle)?;
+        let http_server = serve(http, gateway.clone(), idle, max_connections)?;
         let receive = handle.clone();
         let receive = move |message| receive.event(Event::Received(message));
         let peers = tokio::net::TcpListener::from_std(peer)?;
@@ -237,7 +236,12 @@
     }
 }
 
-fn serve(http: TcpListener, gateway: Rc<Gateway>, idle: Duration) -> eyre::Result<Server> {
+fn serve(
+    http: TcpListener,
+    gateway: Rc<Gateway>,
+    idle: Duration,
+    max_connections: usize,
+) -> eyre::Result<Server> {
     let http_server = Server { phase: watch::channel(Phase::Serving).0, open: Rc::default() };
     let limits = Limits {
         head_bytes: MAX_HEAD_BYTES,
@@ -246,7 +250,7 @@
         ..Limits::default()
     };
     let options = server::Options {
-        max_connections: MAX_CONNECTIONS,
+        max_connections,
         keepalive: Keepalive {
             probe_after: KEEPALIVE,
             probe_interval: KEEPALIVE / 2,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -144,6 +144,11 @@
     /// The most requests that it holds at once.
     #[serde(default = "default_max_requests")]
     pub max_requests: u32,
+    /// The most open connections of callers.
+    #[serde(default = "default_max_connections")]
+    pub max_connections: u32,
+    /// The memory of the process; without it, only the other limits apply.
+    pub memory: Option<Size>,
     /// The longest request body.
     #[serde(default = "default_max_body")]
     pub max_body: Size,
@@ -160,6 +165,10 @@
     1_024
 }
 
+fn default_max_connections() -> u32 {
+    16_384
+}
+
 fn default_max_body() -> Size {
     Size(4 << 20)
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -52,6 +52,10 @@
         self.line.parse().expect("a stand-in prints its address")
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn thread_count(&self) -> usize {
         let tasks = format!("/proc/{}/task", self.child.id());
         std::fs::read_dir(tasks).expect("the process runs").count()
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -71,6 +71,11 @@
         reply(request, 200, "{}");
         return;
     }
+    if let Some((_, bytes)) = request.url().rsplit_once("/large/") {
+        let body = "x".repeat(bytes.parse().unwrap_or_default());
+        reply(request, 200, body);
+        return;
+    }
     let text = read_body(&mut request);
     let key = header(&request, "Idempotency-Key").unwrap_or_else(|| "-".to_owned());
     let key = key.trim_matches('"').to_owned();
