Count what callers make an instance hold in one account

Request bodies and responses were limited to 64 MiB each on machines of 160 MB; responses were counted only while they were read, connections, heads and peers' partial frames not at all. Callers that send and read slowly could take the memory, or all connections, of an instance.

One account per process (edge::memory), sized by Limits.MemoryMb or the product's `memory`, counts connections, heads, bodies by the capacity of their buffers, responses until they are written, events of streams, and partial frames of peers. Where it is short, connections without progress are closed, those that hold most first, and bodies that do not fit are refused with 503 before they are scheduled. A response of known length is not read before there is memory for all of it. Where a server has no connections left, one without progress makes room, or one that pipelines. At most 64 KiB are read ahead from an upstream. The product's peers' port gives the codec whole frames only, as it reserves the announced length of partial ones.

--- a/crates/ctl/tests/client.rs
+++ b/crates/ctl/tests/client.rs
@@ -43,6 +43,8 @@
         peer: any,
         platform: platform.address,
         max_requests: 16,
+        max_connections: 16_384,
+        memory: None,
         max_body: Size(1 << 20),
         idle: Span(Duration::from_secs(30)),
         poll: Span(Duration::from_millis(50)),
--- a/crates/daemon/examples/quickstart.rs
+++ b/crates/daemon/examples/quickstart.rs
@@ -83,6 +83,8 @@
         peer: any,
         platform,
         max_requests: 64,
+        max_connections: 16_384,
+        memory: None,
         max_body: Size(1 << 20),
         idle: Span(Duration::from_secs(30)),
         poll: Span(Duration::from_millis(200)),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -13,6 +13,8 @@
 use rosemarypond_core::event::Event;
 use rosemarypond_core::id::Incarnation;
 use rosemarypond_core::instance::{Identity, Options};
+use rosemarypond_edge::connections::Connections;
+use rosemarypond_edge::memory::Account;
 use rosemarypond_edge::server::{self, Phase};
 use rosemarypond_edge::socket::{self, Keepalive};
 use rosemarypond_edge::thread::Runtime;
@@ -172,22 +174,25 @@
         };
         let handle = Handle::start(options(&settings), environment);
         let listed = Rc::new(RefCell::new(Vec::new()));
+        let connections = Connections::new(Account::new(settings.memory.map(|size| size.0)));
+        spawn_local(connections.clone().watch_memory(logger.clone()));
         let operator_api = Api::new(
             handle.clone(),
             platform.clone(),
             own.clone(),
             listed.clone(),
             traffic.clone(),
+            connections.clone(),
         );
         let poll = settings.poll.0;
         let idle = settings.idle.0;
         let max_connections = settings.max_connections as usize;
         let gateway = Rc::new(Gateway::new(handle.clone(), settings, operator_api));
-        let http_server = serve(http, gateway.clone(), idle, max_connections)?;
+        let http_server = serve(http, gateway.clone(), idle, max_connections, connections.clone())?;
         let receive = handle.clone();
         let receive = move |message| receive.event(Event::Received(message));
         let peers = tokio::net::TcpListener::from_std(peer)?;
-        spawn_local(peer::listen(peers, own.zone.clone(), traffic, receive));
+        spawn_local(peer::listen(peers, own.zone.clone(), traffic, connections, receive));
         info!(logger, "started; listening for callers and peers";
             "http" => own.http.to_string(), "peer" => own.peer.to_string());
         let follower = Follower {
@@ -241,6 +246,7 @@
     gateway: Rc<Gateway>,
     idle: Duration,
     max_connections: usize,
+    open: Connections,
 ) -> eyre::Result<Server> {
     let http_server = Server { phase: watch::channel(Phase::Serving).0, open: Rc::default() };
     let limits = Limits {
@@ -259,9 +265,12 @@
         limits: Box::new(move || limits),
         phase: http_server.phase.subscribe(),
         connections: http_server.open.clone(),
+        open,
     };
     let listener = tokio::net::TcpListener::from_std(http)?;
-    spawn_local(server::serve(listener, options, move |request| gateway.clone().serve(request)));
+    spawn_local(server::serve(listener, options, move |request, activity| {
+        gateway.clone().serve(request, activity)
+    }));
     Ok(http_server)
 }
 
--- a/crates/daemon/src/gateway/held.rs
+++ b/crates/daemon/src/gateway/held.rs
@@ -16,13 +16,15 @@
 use rosemarypond_core::request::Repeat;
 use rosemarypond_core::resume::{self, Grant};
 use rosemarypond_core::unit::Tokens;
+use rosemarypond_edge::connections::Activity;
+use rosemarypond_edge::memory;
 use rosemarypond_edge::reply::{self, Caller, Reply, Sender};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::intake::{self, Intake};
-use super::{Gateway, Permit, Problem, refuse_unread};
+use super::{Gateway, Permit, Problem, Reading, refuse_unread};
 use crate::answer::Answer;
 use crate::runtime::Directive;
 use crate::upstream::{Call, DONE, Piece, Pieces, Target};
@@ -44,6 +46,7 @@
     gateway: Rc<Gateway>,
     parts: http::request::Parts,
     body: Incoming,
+    activity: Rc<Activity>,
     permit: Permit,
 ) -> Response<Reply> {
     let document = match document(&gateway) {
@@ -53,13 +56,14 @@
             return refuse_unread(&parts, reason).into();
         }
     };
-    let max_body = gateway.settings.max_body.0;
-    let intake = match gateway.read(body, max_body).await {
+    let max_body = usize::try_from(gateway.settings.max_body.0).unwrap_or(usize::MAX);
+    let reading = Reading { parts: &parts, activity: &activity };
+    let intake = match gateway.read(body, max_body, &reading).await {
         Ok(body) => intake::parse(&parts, body, gateway.next_id(), &document),
         Err(problem) => Err(problem),
     };
     match intake {
-        Ok(intake) => start(gateway, intake, &document, permit).await,
+        Ok(intake) => start(gateway, intake, &document, activity, permit).await,
         Err(problem) => problem.into(),
     }
 }
@@ -86,6 +90,7 @@
     gateway: Rc<Gateway>,
     intake: Intake,
     document: &Document,
+    activity: Rc<Activity>,
     permit: Permit,
 ) -> Response<Reply> {
     let (answer, answered) = oneshot::channel();
@@ -97,6 +102,7 @@
         caller: Some(Caller::Waiting(answer)),
         attempt: None,
         is_answered: false,
+        activity,
         gateway,
     };
     let directives = held.gateway.handle.submit(intake.request);
@@ -158,6 +164,8 @@
     caller: Option<Caller>,
     attempt: Option<Attempt>,
     is_answered: bool,
+    /// The caller's connection.
+    activity: Rc<Activity>,
 }
 
 impl Held {
@@ -366,7 +374,14 @@
         let whole = self.attempt.as_mut().and_then(|attempt| attempt.whole.take());
         // A stream that ended without tokens is delivered as an empty one.
         let answer = whole.unwrap_or_else(|| kept_stream(Vec::new()));
-        self.answer(reply::full(answer.into_response()));
+        self.answer(self.whole(answer));
+    }
+
+    /// A whole answer, whose memory is counted until its caller has read it.
+    fn whole(&self, answer: Answer) -> Response<Reply> {
+        let mut memory = self.activity.memory(memory::Kind::Responses);
+        memory.add(answer.body.len());
+        reply::full(answer.into_response().map(|body| memory.hold(body)))
     }
 
     fn replay(&mut self, replay: Option<Answer>) {
@@ -374,7 +389,7 @@
             Problem::bad_request(409, "The request ran, but its answer was too long to keep.")
                 .with_outcome("ran")
         };
-        let response = replay.map(|answer| reply::full(answer.into_response()));
+        let response = replay.map(|answer| self.whole(answer));
         self.answer(response.unwrap_or_else(|| too_long().into()));
     }
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -9,12 +9,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::{Request, Response, http};
 use rosemarypond_core::id;
 use rosemarypond_core::outcome::{Outcome, Reason};
+use rosemarypond_edge::body::{self, Shortage};
+use rosemarypond_edge::connections::Activity;
+use rosemarypond_edge::memory::Kind;
 use rosemarypond_edge::reply::{self, Reply};
 use tokio::time::timeout;
 
@@ -51,6 +54,12 @@
     next_request: Cell<u64>,
 }
 
+/// A request whose body is read, and its connection.
+struct Reading<'a> {
+    parts: &'a http::request::Parts,
+    activity: &'a Rc<Activity>,
+}
+
 /// Counts as one held request until it is dropped.
 struct Permit(Rc<Cell<usize>>);
 
@@ -74,8 +83,13 @@
     }
 
     /// Answers a request.
-    pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Response<Reply> {
+    pub async fn serve(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        activity: Rc<Activity>,
+    ) -> Response<Reply> {
         let (parts, body) = request.into_parts();
+        let reading = Reading { parts: &parts, activity: &activity };
         let Some(permit) = self.acquire_permit() else {
             self.discard(body).await;
             return refuse_unread(&parts, Reason::Overload).into();
@@ -86,14 +100,16 @@
             "/metrics" => {
                 respond(Answer::new(200, "text/plain; version=0.0.4", self.operator_api.metrics()))
             }
-            QUERY_PATH | COMMAND_PATH => match self.read(body, MAX_SENTENCE_BYTES as u64).await {
-                Ok(sentence) => {
-                    respond(self.operator_api.serve(&parts.uri, &parts.headers, &sentence).await)
+            QUERY_PATH | COMMAND_PATH => {
+                match self.read(body, MAX_SENTENCE_BYTES, &reading).await {
+                    Ok(sentence) => respond(
+                        self.operator_api.serve(&parts.uri, &parts.headers, &sentence).await,
+                    ),
+                    Err(problem) => problem.into(),
                 }
-                Err(problem) => problem.into(),
-            },
+            }
             "/v1/resume" => resumed::serve(&self, &parts, permit).await,
-            _ => held::serve(self, parts, body, permit).await,
+            _ => held::serve(self, parts, body, activity, permit).await,
         }
     }
 
@@ -122,30 +138,29 @@
     }
 
     /// Reads a whole body of at most `max_bytes`.
-    async fn read(&self, mut body: Incoming, max_bytes: u64) -> Result<Bytes, Problem> {
-        let mut whole = BytesMut::new();
-        let read = timeout(self.settings.idle.0, async {
-            let mut is_too_long = body.size_hint().lower() > max_bytes;
-            while !is_too_long && let Some(frame) = body.frame().await {
-                let frame = frame.map_err(|e| incomplete_body(&e))?;
-                if let Ok(bytes) = frame.into_data() {
-                    is_too_long = (whole.len() + bytes.len()) as u64 > max_bytes;
-                    whole.extend_from_slice(&bytes);
-                }
+    async fn read(
+        &self,
+        mut body: Incoming,
+        max_bytes: usize,
+        reading: &Reading<'_>,
+    ) -> Result<Bytes, Problem> {
+        let _sending = reading.activity.read_body();
+        let mut memory = reading.activity.memory(Kind::Requests);
+        let read = body::read(&mut body, max_bytes, &mut memory, Shortage::Fail);
+        let read = timeout(self.settings.idle.0, read).await;
+        let problem = match read {
+            Ok(Ok(whole)) => return Ok(memory.hold(whole)),
+            Ok(Err(body::Error::Broken)) => return Err(incomplete_body("its end is missing")),
+            Err(_) => return Err(incomplete_body("it took too long")),
+            Ok(Err(body::Error::TooLong)) => {
+                Problem::bad_request(413, format!("The body is longer than {max_bytes} bytes."))
             }
-            Ok(is_too_long)
-        });
-        let is_too_long =
-            read.await.unwrap_or_else(|_| Err(incomplete_body("it took too long")))?;
-        if is_too_long {
-            // A caller reads its answer only after it has sent the body.
-            self.discard(body).await;
-            return Err(Problem::bad_request(
-                413,
-                format!("The body is longer than {max_bytes} bytes."),
-            ));
-        }
-        Ok(whole.freeze())
+            Ok(Err(body::Error::Exhausted(_))) => refuse_unread(reading.parts, Reason::Overload),
+        };
+        drop(memory);
+        // A caller reads its answer only after it has sent the body.
+        self.discard(body).await;
+        Err(problem)
     }
 
     /// Reads and drops the rest of a body, within limits.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use rosemarypond_core::instance::{Counters, Instance};
+use rosemarypond_edge::connections::Connections;
 
 use crate::peer::Traffic;
 
@@ -73,6 +74,7 @@
     snapshot: &Snapshot,
     kept_answers: usize,
     traffic: &Traffic,
+    connections: &Connections,
 ) -> Result<String, fmt::Error> {
     let mut registry = Registry::with_prefix("rosemarypond");
     add_tiers(&mut registry, snapshot);
@@ -81,6 +83,7 @@
     let help = "Answers kept until they are written to the table";
     gauge(&mut registry, "kept_answers", help, kept_answers);
     add_traffic(&mut registry, traffic);
+    connections.register(&mut registry);
     let mut text = String::new();
     text::encode(&mut text, &registry)?;
     Ok(text)
--- a/crates/daemon/src/operate/mod.rs
+++ b/crates/daemon/src/operate/mod.rs
@@ -11,6 +11,7 @@
 use hyper::{HeaderMap, Method, Uri, header};
 use rosemarypond_core::id;
 use rosemarypond_core::language::{Command, Query};
+use rosemarypond_edge::connections::Connections;
 use serde_json::{Value, json};
 
 use crate::answer::Answer;
@@ -48,6 +49,8 @@
     pub listed: Rc<RefCell<Vec<Listed>>>,
     /// The traffic with the peers.
     pub traffic: Rc<Traffic>,
+    /// The open connections of callers.
+    pub connections: Connections,
     peers: Rc<client::Client>,
 }
 
@@ -81,19 +84,24 @@
         own: Listed,
         listed: Rc<RefCell<Vec<Listed>>>,
         traffic: Rc<Traffic>,
+        connections: Connections,
     ) -> Self {
         let peers = Rc::new(client::Client::new(FORWARD_TIMEOUT, MAX_ANSWER_BYTES));
-        Self { handle, platform, own, listed, traffic, peers }
+        Self { handle, platform, own, listed, traffic, connections, peers }
     }
 
     /// Returns the metrics as text, empty where the instance has stopped.
     pub fn metrics(&self) -> String {
         let snapshot = self.handle.ask(|instance, _| Snapshot::of(instance));
         let kept = self.handle.kept_answer_count();
-        let text = snapshot.and_then(|s| metrics::encode(&s, kept, &self.traffic).ok());
+        let text = snapshot.and_then(|s| self.encode(&s, kept));
         text.unwrap_or_default()
     }
 
+    fn encode(&self, snapshot: &Snapshot, kept: usize) -> Option<String> {
+        metrics::encode(snapshot, kept, &self.traffic, &self.connections).ok()
+    }
+
     /// Answers one query or command.
     pub async fn serve(&self, uri: &Uri, headers: &HeaderMap, sentence: &[u8]) -> Answer {
         let response = self.answer(uri, headers, sentence).await;
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -9,11 +9,14 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use prometheus_client::metrics::gauge::Gauge;
 use rosemarypond_core::id;
 use rosemarypond_core::member::{Message, PEER_TIMEOUT};
+use rosemarypond_edge::connections::Connections;
+use rosemarypond_edge::memory::{Kind, Memory};
 use rosemarypond_edge::socket;
 use rosemarypond_wire::Frame;
-use rosemarypond_wire::codec::Codec;
+use rosemarypond_wire::codec::{Codec, MAX_FRAME_BYTES};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -32,6 +35,8 @@
 /// The most frames that wait for one peer; more are dropped.
 pub const MAX_QUEUED: usize = 256;
 
+/// The most connections from peers.
+const MAX_CONNECTIONS: usize = 1_024;
 /// The buffer space reserved for one read, in bytes.
 const READ_BYTES: usize = 4 * 1024;
 /// The pause after a failed accept.
@@ -152,24 +157,44 @@
     listener: TcpListener,
     own_zone: id::Zone,
     traffic: Rc<Traffic>,
+    connections: Connections,
     deliver: impl Fn(Message) + Clone + 'static,
 ) {
+    let open = Rc::new(());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let (traffic, deliver) = (traffic.clone(), deliver.clone());
-        spawn_local(read_frames(stream, own_zone.clone(), traffic, deliver));
+        if Rc::strong_count(&open) > MAX_CONNECTIONS {
+            connections.count_closed("not-accepted");
+            continue;
+        }
+        let (traffic, deliver, open) = (traffic.clone(), deliver.clone(), open.clone());
+        let memory = connections.account().memory(Kind::Frames, &Gauge::default());
+        let read = read_frames(stream, own_zone.clone(), traffic, memory, deliver);
+        spawn_local(async move {
+            read.await;
+            drop(open);
+        });
     }
 }
 
+/// Whether a frame is complete, or too long to be read. The codec reserves the announced
+/// length of a partial frame at once, so that it gets only whole ones.
+fn has_whole_frame(buffer: &[u8]) -> bool {
+    let Some((length, rest)) = buffer.split_first_chunk() else { return false };
+    let length = u32::from_be_bytes(*length) as usize;
+    rest.len() >= length || length > MAX_FRAME_BYTES
+}
+
 /// Reads until the peer closes the connection, violates the protocol or sends
-/// nothing for too long.
+/// nothing for too long, or there is no memory for the rest of a frame.
 async fn read_frames(
     mut stream: TcpStream,
     own_zone: id::Zone,
     traffic: Rc<Traffic>,
+    mut memory: Memory,
     deliver: impl Fn(Message),
 ) {
     let (mut codec, mut buffer) = (Codec::default(), BytesMut::new());
@@ -177,8 +202,11 @@
         buffer.reserve(READ_BYTES);
         let read = timeout(PEER_TIMEOUT * 2, stream.read_buf(&mut buffer)).await;
         let Ok(Ok(count @ 1..)) = read else { return };
+        if memory.reserve(count).is_err() {
+            return;
+        }
         add(&traffic.received_bytes, count);
-        loop {
+        while has_whole_frame(&buffer) {
             match codec.decode(&mut buffer) {
                 Ok(Some(frame)) => {
                     add(&traffic.received_frames, 1);
@@ -189,5 +217,6 @@
                 Err(_) => return,
             }
         }
+        memory.shrink(buffer.len());
     }
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, http};
 use rosemarypond_core::config::Version;
@@ -17,11 +17,12 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout};
 
+use crate::body::{self, Shortage};
 use crate::clock;
 use crate::delegation::{self, Order};
 use crate::dialect::{Forward, Head, Meaning, Refusal, Rest};
 use crate::gateway::Gateway;
-use crate::memory::Memory;
+use crate::memory::{Kind, Memory};
 use crate::pool::{self, Connection};
 use crate::reply::{self, Caller, Reply};
 use crate::report::read_report;
@@ -304,9 +305,9 @@
             return Outcome::Failed(Ended::NotRun { misdirected }, None);
         }
         let may_cancel = self.call.repeat.may_run_again() || self.route.is_stream;
-        let mut memory = Memory::new(&self.gateway.metrics.held_response_bytes);
+        let mut memory = self.memory.sibling(Kind::Responses);
         let whole = tokio::select! {
-            whole = read_body(body, &mut memory) => whole,
+            whole = body::read(body, MAX_RESPONSE_BYTES, &mut memory, Shortage::Wait) => whole,
             () = caller.disconnected(), if may_cancel => return Outcome::CallerLeft,
             () = sleep_until(self.call.deadline.into()) => {
                 return Outcome::TimedOut { is_hanging: false };
@@ -314,14 +315,14 @@
         };
         let bytes = match whole {
             Ok(bytes) => bytes,
-            Err(BodyError::TooLong) => return self.broken(),
-            Err(BodyError::Lost) => {
+            Err(body::Error::TooLong | body::Error::Exhausted(_)) => return self.broken(),
+            Err(body::Error::Broken) => {
                 self.record_lost_connection(target, Some(answered_at), directives);
                 return self.broken();
             }
         };
         self.keep(connection, &parts);
-        self.outcome_of(meaning, parts, bytes)
+        self.outcome_of(meaning, parts, memory.hold(bytes))
     }
 
     /// Keeps a connection if the rest of a response that is not needed comes soon.
@@ -338,8 +339,9 @@
 
     /// Reads the rest of a response that is not needed; returns whether it came soon.
     pub async fn skip_body(&self, body: Incoming) -> bool {
-        let mut memory = Memory::new(&self.gateway.metrics.held_response_bytes);
-        let rest = timeout(REJECTION_TIMEOUT, read_body(body, &mut memory));
+        let mut memory = self.memory.sibling(Kind::Responses);
+        let rest = body::read(body, MAX_RESPONSE_BYTES, &mut memory, Shortage::Fail);
+        let rest = timeout(REJECTION_TIMEOUT, rest);
         matches!(rest.await, Ok(Ok(_)))
     }
 
@@ -463,28 +465,6 @@
     }
 }
 
-/// Why the body of a response was not read.
-enum BodyError {
-    /// It is longer than [`MAX_RESPONSE_BYTES`], or there is no memory for it.
-    TooLong,
-    /// The connection ended before it was complete.
-    Lost,
-}
-
-/// Reads the body of a response that is not an event stream.
-async fn read_body(mut body: Incoming, memory: &mut Memory) -> Result<Bytes, BodyError> {
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(bytes) = frame.map_err(|_| BodyError::Lost)?.into_data() else { continue };
-        let is_too_long = whole.len() + bytes.len() > MAX_RESPONSE_BYTES;
-        if is_too_long || memory.reserve(bytes.len()).is_err() {
-            return Err(BodyError::TooLong);
-        }
-        whole.extend_from_slice(&bytes);
-    }
-    Ok(whole.freeze())
-}
-
 fn is_event_stream(parts: &http::response::Parts) -> bool {
     let kind = parts.headers.get(http::header::CONTENT_TYPE);
     kind.and_then(|k| k.to_str().ok()).is_some_and(|k| k.starts_with("text/event-stream"))
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -7,9 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::{Request, Response, http};
 use rosemarypond_core::config::Version;
 use rosemarypond_core::entry::call::{Call, Origin, Reason, Repeat};
@@ -26,12 +24,14 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::body::{self, Shortage};
 use crate::clock;
+use crate::connections::{Activity, Connections};
 use crate::delegation::{Order, Report};
 use crate::dialect::{Dialect, Head, Refusal};
 use crate::exchange::Exchange;
 use crate::gossip::Peers;
-use crate::memory::{Exhausted, Memory};
+use crate::memory::Kind;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::reply::{self, Reply};
@@ -51,6 +51,8 @@
     pub proof_limit: Option<Duration>,
     /// The other instances.
     pub peers: Peers,
+    /// The open connections of callers and peers.
+    pub connections: Connections,
     /// Where log lines go.
     pub log: Logger,
 }
@@ -85,7 +87,7 @@
         Self {
             dialect: options.dialect,
             pool: Pool::default(),
-            metrics: Metrics::default(),
+            metrics: Metrics::new(&options.connections),
             log: options.log,
             peers: options.peers,
             handle,
@@ -240,18 +242,26 @@
     }
 
     /// Answers a request.
-    pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Response<Reply> {
+    pub async fn serve(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        activity: Rc<Activity>,
+    ) -> Response<Reply> {
         self.metrics.requests.inc();
         let (parts, body) = request.into_parts();
-        self.respond(parts, body, None).await
+        self.respond(parts, body, activity, None).await
     }
 
     /// Answers a request that a peer delegated.
-    pub async fn serve_delegated(self: Rc<Self>, request: Request<Incoming>) -> Response<Reply> {
+    pub async fn serve_delegated(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        activity: Rc<Activity>,
+    ) -> Response<Reply> {
         self.metrics.delegated_requests.inc();
         let (mut parts, body) = request.into_parts();
         match Order::take(&mut parts.headers) {
-            Some(order) => self.respond(parts, body, Some(order)).await,
+            Some(order) => self.respond(parts, body, activity, Some(order)).await,
             None => reply::full((self.dialect.refuse)(&Refusal::Malformed)),
         }
     }
@@ -260,13 +270,14 @@
         self: Rc<Self>,
         parts: http::request::Parts,
         body: Incoming,
+        activity: Rc<Activity>,
         order: Option<Order>,
     ) -> Response<Reply> {
         let accepted = match (self.dialect.read_head)(&parts) {
             Err(refusal) => Err((None, refusal)),
             Ok(head) => {
                 let id = head.request.clone();
-                let accepted = self.accept(head, parts, body, order.as_ref()).await;
+                let accepted = self.accept(head, parts, body, &activity, order.as_ref()).await;
                 accepted.map_err(|refusal| (Some(id), refusal))
             }
         };
@@ -310,15 +321,19 @@
         head: Head,
         parts: http::request::Parts,
         body: Incoming,
+        activity: &Rc<Activity>,
         order: Option<&Order>,
     ) -> Result<Exchange, Refusal> {
         let arrived = clock::now();
         let limits = self.plan_in_force()?.limits;
-        let mut memory = Memory::new(&self.metrics.held_body_bytes);
+        let mut memory = activity.memory(Kind::Requests);
+        let sending = activity.read_body();
         // An unread body would leave the connection unusable, so it is read before
         // the request is authorized.
-        let body = read_body(body, limits.body_bytes, &mut memory);
-        let body = timeout(limits.idle_timeout, body).await.unwrap_or(Err(Refusal::BodyTimeout))?;
+        let body = body::read(body, limits.body_bytes, &mut memory, Shortage::Fail);
+        let body = timeout(limits.idle_timeout, body).await.map_err(|_| Refusal::BodyTimeout)?;
+        let body = body.map_err(unread)?;
+        drop(sending);
         // The plan that is now proved to be current, which may be newer than the head.
         let plan = self.plan_in_force()?;
         if order.is_some_and(|order| order.plan > plan.version) {
@@ -436,21 +451,12 @@
     id::Fingerprint(stable_hash((parts.method.as_str(), &head.host, path, team, body)))
 }
 
-async fn read_body(body: Incoming, limit: usize, memory: &mut Memory) -> Result<Bytes, Refusal> {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(Refusal::BodyTooLong);
-    }
-    let mut body = body;
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+/// The refusal of a request whose body was not read.
+fn unread(error: body::Error) -> Refusal {
+    match error {
+        body::Error::TooLong => Refusal::BodyTooLong,
+        body::Error::Exhausted(_) => not_ready(Reason::Memory),
         // The caller disconnected, so nobody reads this refusal.
-        let frame = frame.map_err(|_| Refusal::Malformed)?;
-        let Ok(bytes) = frame.into_data() else { continue };
-        if whole.len() + bytes.len() > limit {
-            return Err(Refusal::BodyTooLong);
-        }
-        memory.reserve(bytes.len()).map_err(|Exhausted| not_ready(Reason::Memory))?;
-        whole.extend_from_slice(&bytes);
+        body::Error::Broken => Refusal::Malformed,
     }
-    Ok(whole.freeze())
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,7 +7,9 @@
 //! and refusals are written as HTTP.
 
 pub mod actor;
+pub mod body;
 pub mod clock;
+pub mod connections;
 pub mod delegation;
 pub mod dialect;
 pub mod event_stream;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -7,6 +7,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::connections::Connections;
+
 /// Counters with the label `how`: how a request or an attempt ended.
 type ByHow = Family<[(&'static str, &'static str); 1], Counter>;
 
@@ -34,16 +36,13 @@
     pub first_seconds: Histogram,
     /// Open connections from callers.
     pub connections: Gauge,
-    /// Memory for the bodies of requests that are held, in bytes.
-    pub held_body_bytes: Gauge,
-    /// Memory for the bodies of responses that are read, in bytes.
-    pub held_response_bytes: Gauge,
     /// Configurations that were not valid.
     pub invalid_configurations: Counter,
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
+impl Metrics {
+    /// Metrics that include those of the connections and their memory.
+    pub fn new(connections: &Connections) -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("rosemarypond"),
             requests: Counter::default(),
@@ -56,11 +55,10 @@
             early_answers: Counter::default(),
             first_seconds: Histogram::new(exponential_buckets(0.01, 2.0, 11)),
             connections: Gauge::default(),
-            held_body_bytes: Gauge::default(),
-            held_response_bytes: Gauge::default(),
             invalid_configurations: Counter::default(),
         };
         let registry = &mut metrics.registry;
+        connections.register(registry);
         registry.register("requests", "Requests that arrived", metrics.requests.clone());
         registry.register("answers", "Final answers", metrics.answers.clone());
         registry.register("sends", "Requests sent to upstreams", metrics.sends.clone());
@@ -87,16 +85,6 @@
         );
         registry.register("first_seconds", "First byte or event", metrics.first_seconds.clone());
         registry.register("connections", "Open connections", metrics.connections.clone());
-        registry.register(
-            "held_body_bytes",
-            "Memory for the bodies of requests that are held",
-            metrics.held_body_bytes.clone(),
-        );
-        registry.register(
-            "held_response_bytes",
-            "Memory for the bodies of responses that are read",
-            metrics.held_response_bytes.clone(),
-        );
         registry.register(
             "invalid_configurations",
             "Configurations that were not valid",
@@ -104,9 +92,7 @@
         );
         metrics
     }
-}
 
-impl Metrics {
     /// Counts a final answer.
     pub fn count_answer(&self, how: &'static str) {
         self.answers.get_or_create(&[("how", how)]).inc();
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -104,6 +104,10 @@
     }
 }
 
+/// The most that is read ahead from an upstream, in bytes. With the default of some
+/// 400 KiB, 50 responses of 1 MiB for slow readers took more memory than their account.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// The task that drives a connection; dropping it closes the connection.
 #[derive(Debug)]
 struct Driver(AbortHandle);
@@ -147,8 +151,11 @@
         let written = Rc::new(Cell::new(0));
         let is_idle = Rc::new(Cell::new(true));
         let stream = Stream { stream, written: written.clone(), is_idle: is_idle.clone() };
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
         let driver = spawn_local(async move {
             // `send` returns the errors of the request in flight.
             let _ = connection.await;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -10,10 +10,12 @@
 use rosemarypond_core::unit::Tokens;
 use tokio::time::sleep_until;
 
+use crate::body;
 use crate::clock;
 use crate::delegation;
 use crate::event_stream::{Event, Parser};
 use crate::exchange::{Exchange, Outcome, REROUTE_CHECK_INTERVAL, Stream, next_directive};
+use crate::memory::Kind;
 use crate::reply::{self, Broken, Caller};
 use crate::runtime::Directives;
 use crate::target::Target;
@@ -203,10 +205,16 @@
                 progress.record(&event);
                 // Bytes that complete no event are no progress.
                 check_at = self.stall_deadline(stall_timeout);
+                let mut memory = self.memory.sibling(Kind::Responses);
+                let send = async {
+                    body::reserve(&mut memory, event.bytes.len()).await;
+                    sender.send(Ok(memory.hold(event.bytes))).await
+                };
                 tokio::select! {
-                    sent = sender.send(Ok(event.bytes)) => if sent.is_err() {
+                    sent = send => if sent.is_err() {
                         return End::CallerLeft
                     },
+                    () = sender.closed() => return End::CallerLeft,
                     () = sleep_until(self.call.deadline.into()) => return End::TimedOut,
                 }
             }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -1,13 +1,13 @@
 //! An HTTP server: accepts connections from callers and serves their requests.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
@@ -21,7 +21,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::clock;
+use crate::connections::{Activity, Connections, Serving};
 use crate::reply::Reply;
 use crate::socket::Keepalive;
 
@@ -55,37 +55,24 @@
     pub phase: watch::Receiver<Phase>,
     /// The number of open connections; the server updates it.
     pub connections: Rc<Cell<usize>>,
+    /// The open connections of all servers of the process.
+    pub open: Connections,
 }
 
-/// What the timeouts of a connection are measured by.
-struct Activity {
-    /// Requests that are being served.
-    requests: Cell<u32>,
-    /// When the last request ended.
-    last_ended: RefCell<Instant>,
-    /// When the first byte of a head arrived that is still incomplete.
-    head_since: Cell<Option<Instant>>,
+/// A connection that records what is received and written.
+struct Stream {
+    stream: TcpStream,
+    activity: Rc<Activity>,
 }
 
-impl Activity {
-    fn idle_time(&self) -> Duration {
-        if self.requests.get() > 0 {
-            return Duration::ZERO;
+impl Stream {
+    fn record(&self, written: &Poll<io::Result<usize>>) {
+        match written {
+            Poll::Ready(Ok(bytes)) => self.activity.record_written(Some(*bytes)),
+            Poll::Pending => self.activity.record_written(None),
+            Poll::Ready(Err(_)) => {}
         }
-        clock::now().saturating_duration_since(*self.last_ended.borrow())
     }
-
-    /// How long the current head has been incomplete.
-    fn head_time(&self) -> Duration {
-        let since = self.head_since.get();
-        since.map_or(Duration::ZERO, |since| clock::now().saturating_duration_since(since))
-    }
-}
-
-/// A connection that records when a head begins to arrive.
-struct Stream {
-    stream: TcpStream,
-    activity: Rc<Activity>,
 }
 
 impl AsyncRead for Stream {
@@ -96,10 +83,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        let activity = &self.activity;
-        let is_head = activity.requests.get() == 0 && buffer.filled().len() > before;
-        if is_head && activity.head_since.get().is_none() {
-            activity.head_since.set(Some(clock::now()));
+        let received = buffer.filled().len() - before;
+        if self.activity.record_received(received).is_err() {
+            return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
         }
         read
     }
@@ -111,7 +97,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.record(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -119,7 +107,9 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.record(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -135,29 +125,11 @@
     }
 }
 
-/// Counts a request as being served until it is dropped.
-struct Guard(Rc<Activity>);
-
-impl Guard {
-    fn new(activity: Rc<Activity>) -> Self {
-        activity.requests.set(activity.requests.get() + 1);
-        activity.head_since.set(None);
-        Self(activity)
-    }
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.0.requests.set(self.0.requests.get() - 1);
-        *self.0.last_ended.borrow_mut() = clock::now();
-    }
-}
-
 /// The body of a response, whose request counts as being served until the body
 /// is dropped.
 struct GuardedBody {
     reply: Reply,
-    _guard: Guard,
+    _serving: Serving,
 }
 
 impl Body for GuardedBody {
@@ -184,10 +156,11 @@
 pub async fn serve<F, S>(listener: TcpListener, options: Options, service: S)
 where
     F: Future<Output = Response<Reply>> + 'static,
-    S: Fn(Request<Incoming>) -> F + Clone + 'static,
+    S: Fn(Request<Incoming>, Rc<Activity>) -> F + Clone + 'static,
 {
     let options = Rc::new(options);
     let mut phase = options.phase.clone();
+    let server = options.open.add_server();
     loop {
         let accepted = tokio::select! {
             // Connections that wait to be accepted are served before the listener
@@ -202,36 +175,39 @@
         };
         let connections = options.connections.clone();
         if connections.get() >= options.max_connections {
+            // Makes room for a later connection; this one is closed.
+            options.open.make_room(server);
+            options.open.count_closed("not-accepted");
             continue;
         }
+        let Ok(open) = options.open.open(server) else { continue };
         connections.set(connections.get() + 1);
         let (options, service) = (options.clone(), service.clone());
         spawn_local(async move {
-            serve_connection(stream, &options, service).await;
+            serve_connection(stream, &open.activity, &options, service).await;
             connections.set(connections.get() - 1);
         });
     }
 }
 
-async fn serve_connection<F, S>(stream: TcpStream, options: &Options, service: S)
-where
+async fn serve_connection<F, S>(
+    stream: TcpStream,
+    activity: &Rc<Activity>,
+    options: &Options,
+    service: S,
+) where
     F: Future<Output = Response<Reply>> + 'static,
-    S: Fn(Request<Incoming>) -> F + Clone + 'static,
+    S: Fn(Request<Incoming>, Rc<Activity>) -> F + Clone + 'static,
 {
     // Without keepalive the connection still carries requests.
     let _ = options.keepalive.apply(&stream);
     let limits = (options.limits)();
-    let activity = Rc::new(Activity {
-        requests: Cell::new(0),
-        last_ended: RefCell::new(clock::now()),
-        head_since: Cell::new(None),
-    });
     let stream = Stream { stream, activity: activity.clone() };
     let phase = options.phase.clone();
     let serving = activity.clone();
     let service = service_fn(move |request| {
-        let guard = Guard::new(serving.clone());
-        let response = service(request);
+        let serving_request = Serving::new(serving.clone());
+        let response = service(request, serving.clone());
         let phase = phase.clone();
         async move {
             let mut response = response.await;
@@ -239,7 +215,9 @@
                 let close = hyper::header::HeaderValue::from_static("close");
                 response.headers_mut().insert(hyper::header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response.map(|reply| GuardedBody { reply, _guard: guard }))
+            Ok::<_, Infallible>(
+                response.map(|reply| GuardedBody { reply, _serving: serving_request }),
+            )
         }
     });
     let connection = http1::Builder::new()
@@ -255,6 +233,11 @@
             biased;
             // An error ends this connection and concerns no other.
             _ = connection.as_mut() => return,
+            () = activity.wait_until_closing() => return,
+            () = activity.wait_until_ending(), if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
             () = wait_for_phase(&mut phase, Phase::Closing), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
