--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -13,6 +13,8 @@
 use rosemarypond_core::event::Event;
 use rosemarypond_core::id::Incarnation;
 use rosemarypond_core::instance::{Identity, Options};
+use rosemarypond_edge::connections::Connections;
+use rosemarypond_edge::memory::Account;
 use rosemarypond_edge::server::{self, Phase};
 use rosemarypond_edge::socket::{self, Keepalive};
 use rosemarypond_edge::thread::Runtime;
@@ -40,8 +42,6 @@
 /// The longest request head that is read, in bytes. It exceeds the longest
 /// accepted URL, so that a longer URL gets status 414.
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// The most open connections of callers.
-const MAX_CONNECTIONS: usize = 16_384;
 /// Idle time after which a caller's connection is probed.
 pub const KEEPALIVE: Duration = Duration::from_secs(10);
 /// How long a caller may leave data unacknowledged before its connection is
@@ -174,21 +174,25 @@
         };
         let handle = Handle::start(options(&settings), environment);
         let listed = Rc::new(RefCell::new(Vec::new()));
+        let connections = Connections::new(Account::new(settings.memory.map(|size| size.0)));
+        spawn_local(connections.clone().watch_memory(logger.clone()));
         let operator_api = Api::new(
             handle.clone(),
             platform.clone(),
             own.clone(),
             listed.clone(),
             traffic.clone(),
+            connections.clone(),
         );
         let poll = settings.poll.0;
         let idle = settings.idle.0;
+        let max_connections = settings.max_connections as usize;
         let gateway = Rc::new(Gateway::new(handle.clone(), settings, operator_api));
-        let http_server = serve(http, gateway.clone(), idle)?;
+        let http_server = serve(http, gateway.clone(), idle, max_connections, connections.clone())?;
         let receive = handle.clone();
         let receive = move |message| receive.event(Event::Received(message));
         let peers = tokio::net::TcpListener::from_std(peer)?;
-        spawn_local(peer::listen(peers, own.zone.clone(), traffic, receive));
+        spawn_local(peer::listen(peers, own.zone.clone(), traffic, connections, receive));
         info!(logger, "started; listening for callers and peers";
             "http" => own.http.to_string(), "peer" => own.peer.to_string());
         let follower = Follower {
@@ -237,7 +241,13 @@
     }
 }
 
-fn serve(http: TcpListener, gateway: Rc<Gateway>, idle: Duration) -> eyre::Result<Server> {
+fn serve(
+    http: TcpListener,
+    gateway: Rc<Gateway>,
+    idle: Duration,
+    max_connections: usize,
+    open: Connections,
+) -> eyre::Result<Server> {
     let http_server = Server { phase: watch::channel(Phase::Serving).0, open: Rc::default() };
     let limits = Limits {
         head_bytes: MAX_HEAD_BYTES,
@@ -246,7 +256,7 @@
         ..Limits::default()
     };
     let options = server::Options {
-        max_connections: MAX_CONNECTIONS,
+        max_connections,
         keepalive: Keepalive {
             probe_after: KEEPALIVE,
             probe_interval: KEEPALIVE / 2,
@@ -255,9 +265,12 @@
         limits: Box::new(move || limits),
         phase: http_server.phase.subscribe(),
         connections: http_server.open.clone(),
+        open,
     };
     let listener = tokio::net::TcpListener::from_std(http)?;
-    spawn_local(server::serve(listener, options, move |request| gateway.clone().serve(request)));
+    spawn_local(server::serve(listener, options, move |request, activity| {
+        gateway.clone().serve(request, activity)
+    }));
     Ok(http_server)
 }
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -7,6 +7,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::connections::Connections;
+
 /// Counters with the label `how`: how a request or an attempt ended.
 type ByHow = Family<[(&'static str, &'static str); 1], Counter>;
 
@@ -36,10 +38,6 @@
     pub connections: Gauge,
     /// Requests sent to engines that other zones offered, since the start.
     pub spilled_requests: Gauge,
-    /// Memory for the bodies of requests that are held, in bytes.
-    pub held_body_bytes: Gauge,
-    /// Memory for the bodies of responses that are read, in bytes.
-    pub held_response_bytes: Gauge,
     /// Configurations that were not valid.
     pub invalid_configurations: Counter,
     /// Steps that rollouts have reached, by step.
@@ -50,8 +48,9 @@
     pub invalid_orders: Counter,
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
+impl Metrics {
+    /// Metrics that include those of the connections and their memory.
+    pub fn new(connections: &Connections) -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("rosemarypond"),
             requests: Counter::default(),
@@ -65,14 +64,13 @@
             first_seconds: Histogram::new(exponential_buckets(0.01, 2.0, 11)),
             connections: Gauge::default(),
             spilled_requests: Gauge::default(),
-            held_body_bytes: Gauge::default(),
-            held_response_bytes: Gauge::default(),
             invalid_configurations: Counter::default(),
             rollout_steps: ByHow::default(),
             condemned_versions: Counter::default(),
             invalid_orders: Counter::default(),
         };
         let registry = &mut metrics.registry;
+        connections.register(registry);
         registry.register("requests", "Requests that arrived", metrics.requests.clone());
         registry.register("answers", "Final answers", metrics.answers.clone());
         registry.register("sends", "Requests sent to upstreams", metrics.sends.clone());
@@ -104,16 +102,6 @@
             "Requests sent to engines that other zones offered, since the start",
             metrics.spilled_requests.clone(),
         );
-        registry.register(
-            "held_body_bytes",
-            "Memory for the bodies of requests that are held",
-            metrics.held_body_bytes.clone(),
-        );
-        registry.register(
-            "held_response_bytes",
-            "Memory for the bodies of responses that are read",
-            metrics.held_response_bytes.clone(),
-        );
         registry.register(
             "invalid_configurations",
             "Configurations that were not valid",
@@ -136,9 +124,7 @@
         );
         metrics
     }
-}
 
-impl Metrics {
     /// Counts a final answer.
     pub fn count_answer(&self, how: &'static str) {
         self.answers.get_or_create(&[("how", how)]).inc();
