Mend what the reviews of the merged parts found

Rollouts: nothing succeeds without enough engines of the new version; a store that comes back from an older copy does not stop the rollout; a condemned version is told on after the end; writes without effect and queued reads are not repeated at each review; counts that peers state are bounded. Spillover: allowed again after a rollout; a relay that is replaced or stops keeps what it offered as taken. Refusals: delegated requests count as dispatched, time without open upstreams does not, pauses do not make a request late, and the first in line is not refused early. A pass over the backlog goes on with other services after 16 requests that wait for faster upstreams. A caller that does not read its cut stream no longer holds a slot.

--- a/crates/core/src/entry/admission.rs
+++ b/crates/core/src/entry/admission.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Forgets what is known of a service.
+    pub fn forget(&mut self, service: &id::Service) {
+        self.services.remove(service);
+    }
+
     /// Forgets the services of which no request waits.
     pub fn retain(&mut self, waits: impl Fn(&id::Service) -> bool) {
         self.services.retain(|service, _| waits(service));
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -209,7 +209,8 @@
     }
 
     /// The least time to the first byte or event at the upstreams that
-    /// [`choose`](Self::choose) weighs for a request; zero if none is open.
+    /// [`choose`](Self::choose) weighs for a request now or after a pause; zero if none
+    /// takes work.
     pub fn least_time_to_first(
         &self,
         call: &Call,
@@ -220,7 +221,7 @@
         let mut least: [Option<Duration>; 2] = [None; 2];
         for upstream in self.upstreams.values() {
             let is_usable = upstream.registration.service == call.service
-                && upstream.is_open(now)
+                && upstream.takes_work()
                 && !excluded.contains(&upstream.registration.id)
                 && call.origin.allows(upstream.registration.release.as_ref());
             if is_usable {
--- a/crates/core/src/entry/rollout/mod.rs
+++ b/crates/core/src/entry/rollout/mod.rs
@@ -178,10 +178,11 @@
             let is_behind = found.as_ref().is_none_or(|row| row.step < known.step);
             is_behind && read.era > known.era
         });
+        // The store is read again, so that the known step can be written there.
+        self.confirmed_at = self.confirmed_at.max(Some(read.began));
         if self.is_lost {
             return;
         }
-        self.confirmed_at = self.confirmed_at.max(Some(read.began));
         let Some(row) = found else { return };
         let before = self.step();
         if before.is_none() && row.era == read.era && read.answered_at.is_some() {
@@ -273,6 +274,7 @@
         let (exposure, instances) = limits;
         let Ledger { own, .. } = &self.ledger;
         let is_eligible = self.row.is_some()
+            && !self.is_lost
             && self.is_current(now)
             && !is_retry
             && lot < share::of_step(step, exposure)
@@ -346,11 +348,17 @@
                 let is_due = has_ended && in_step >= part(MAX_RAMP_PART);
                 (is_due || elapsed >= part(CLOSING_PART)).then_some(Step::Closing)
             }
-            Step::Closing => (is_idle && self.engines.old_running == 0).then_some(Step::Succeeded),
+            Step::Closing => (is_idle && has_capacity && self.engines.old_running == 0)
+                .then_some(Step::Succeeded),
             Step::Succeeded | Step::RolledBack => None,
         }
     }
 
+    /// Whether it ended long enough ago that versions are no longer kept apart.
+    pub fn is_lifted(&self) -> bool {
+        self.is_lifted
+    }
+
     /// Whether the row is to be read again: it may change, or a peer knows a newer one.
     pub fn wants_read(&self) -> bool {
         !self.is_final() || self.is_lost
--- a/crates/core/src/entry/scheduler/delegations.rs
+++ b/crates/core/src/entry/scheduler/delegations.rs
@@ -92,8 +92,10 @@
     }
 
     /// Delegates a request for one attempt.
-    pub(super) fn delegate(&mut self, id: id::Request, peer: id::Instance) {
-        self.backlog.remove(id);
+    pub(super) fn delegate(&mut self, now: Instant, id: id::Request, peer: id::Instance) {
+        if let Some(waiting) = self.backlog.remove(id) {
+            self.drains.record(&waiting.call.service, now);
+        }
         let Some(held) = self.held.get_mut(&id) else { return };
         held.sent += 1;
         held.delegate = Some(peer.clone());
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -41,6 +41,9 @@
 pub const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// The most waiting requests for which one pass looks for an upstream.
 const CANDIDATES_PER_PASS: usize = 64;
+/// After so many requests of a service for which those with room are too slow, a pass goes
+/// on with other services, whose upstreams may be idle.
+const MAX_WAITS_PER_SERVICE: usize = 16;
 
 /// The settings of a scheduler.
 #[derive(Clone, Debug)]
@@ -343,6 +346,7 @@
         let visibility = self.visibility();
         let reaches = self.fleet.partial_reaches();
         let mut full = vec![];
+        let mut late: HashMap<id::Service, usize> = HashMap::new();
         let mut candidates = 0;
         for id in self.backlog.dispatch_order(now) {
             let Some(waiting) = self.backlog.get(id) else { continue };
@@ -351,13 +355,18 @@
             if own.is_none() && waiting.is_unrestricted() && self.is_known_full(now, held, &full) {
                 continue;
             }
+            let waits = late.entry(held.call.service.clone()).or_default();
+            if *waits >= MAX_WAITS_PER_SERVICE {
+                continue;
+            }
             candidates += 1;
             if candidates > CANDIDATES_PER_PASS {
                 break;
             }
             let choice = self.choose(now, held, &waiting.excluded, visibility, &mut full);
+            *waits += usize::from(choice == Choice::Wait);
             if let Some(peer) = self.delegate_for(now, held, &choice, own) {
-                self.delegate(id, peer);
+                self.delegate(now, id, peer);
                 continue;
             }
             let choice = match choice {
--- a/crates/core/src/entry/scheduler/refusals.rs
+++ b/crates/core/src/entry/scheduler/refusals.rs
@@ -50,11 +50,16 @@
     pub(super) fn refuse_hopeless(&mut self, now: Instant) {
         let services = self.backlog.services();
         self.drains.retain(|service| services.contains(service));
+        let order = self.backlog.dispatch_order(now);
         for service in services {
+            if !self.fleet.has_open(&service, now) {
+                // What is dispatched after a pause tells nothing of the time before it.
+                self.drains.forget(&service);
+                continue;
+            }
             self.drains.update(&service, now);
             let Some(rate) = self.drains.rate(&service, now) else { continue };
-            let order = self.backlog.dispatch_order(now).into_iter();
-            let waiting = order.filter_map(|id| self.backlog.get(id));
+            let waiting = order.iter().filter_map(|id| self.backlog.get(*id));
             let waiting: Vec<_> = waiting.filter(|w| w.call.service == service).collect();
             for id in hopeless(&waiting, rate, now) {
                 self.refuse(now, id, Reason::Deadline);
@@ -146,7 +151,9 @@
     let mut kept = 0;
     for waiting in waiting {
         let starts = now + rate.least_wait(kept + 1);
-        if Some(urgency(waiting)) == least_urgent && starts > latest_start(waiting) {
+        // The first one loses nothing by waiting.
+        let is_hopeless = kept > 0 && starts > latest_start(waiting);
+        if Some(urgency(waiting)) == least_urgent && is_hopeless {
             hopeless.push(waiting.call.id);
         } else {
             kept += 1;
--- a/crates/core/src/entry/scheduler/rollouts.rs
+++ b/crates/core/src/entry/scheduler/rollouts.rs
@@ -115,7 +115,6 @@
     /// Adds the rows that were read in the shared store.
     pub(super) fn rollouts_read(&mut self, now: Instant, read: &Read) {
         self.rollouts.read_ended = Some(now);
-        self.rollouts.write_began = None;
         if self.rollouts.exposure.is_none() {
             return;
         }
@@ -137,6 +136,8 @@
             rollout.follow(row.map(|(_, row)| row.clone()), read, now);
             if let Some(step) = rollout.step().filter(|step| before != Some(*step)) {
                 self.has_changes = true;
+                // A write that had no effect is repeated after its timeout only.
+                self.rollouts.write_began = None;
                 let (service, to) = (service.clone(), rollout.to().clone());
                 self.actions.push(Action::ReportRollout { service, to, step, before });
             }
@@ -478,8 +479,7 @@
 
     /// The versions that this instance knows to be bad.
     pub(super) fn condemned(&self) -> Vec<Condemned> {
-        let is_told =
-            |(_, rollout): &(&id::Service, &Rollout)| rollout.is_condemned() && !rollout.is_final();
+        let is_told = |(_, rollout): &(&id::Service, &Rollout)| rollout.is_condemned();
         let condemned = self.rollouts.known.iter().filter(is_told);
         let message = |(service, rollout): (&id::Service, &Rollout)| Condemned {
             service: service.clone(),
--- a/crates/core/src/entry/scheduler/spill.rs
+++ b/crates/core/src/entry/scheduler/spill.rs
@@ -13,6 +13,7 @@
 use crate::entry::backlog::Waiting;
 use crate::entry::call::Call;
 use crate::entry::gossip::{Gossip, Load, Need, Offer};
+use crate::entry::rollout::Rollout;
 use crate::entry::spill::{Borrower, Engine, LIFETIME, Lender, Relays, Share, reserve};
 use crate::entry::upstream::Upstream;
 use crate::id;
@@ -104,6 +105,12 @@
         self.spill.is_disabled = !is_enabled;
     }
 
+    /// Whether requests of a service may be sent to other zones' offers: during a rollout
+    /// the shares of its versions hold for the choice among all upstreams only.
+    fn may_spill(&self, service: &id::Service) -> bool {
+        self.rollout(service).is_none_or(Rollout::is_lifted)
+    }
+
     fn is_spill_active(&self) -> bool {
         !self.spill.is_disabled && !self.is_full_mesh()
     }
@@ -111,7 +118,7 @@
     /// Whether this instance is the relay that reports needs and offers of its zone; the
     /// other relays report none, so that nothing adds up.
     fn is_spill_relay(&self) -> bool {
-        self.is_spill_active() && self.preferred_peers() == 0
+        self.is_spill_active() && !self.is_stopping && self.preferred_peers() == 0
     }
 
     /// Takes over what another zone needs, offers and uses.
@@ -304,7 +311,7 @@
         for id in self.backlog.dispatch_order(now) {
             let Some(waiting) = self.backlog.get(id) else { continue };
             let call = &waiting.call;
-            if call.prompt.0 == 0 {
+            if call.prompt.0 == 0 || !self.may_spill(&call.service) {
                 continue;
             }
             let outlook = outlooks.entry(&call.service);
@@ -362,7 +369,7 @@
                 self.spill.lender.sample(&engines, &missed, now);
             }
         } else {
-            self.spill.lender = Lender::default();
+            self.spill.lender.retire(now);
         }
         self.reserve(now);
     }
@@ -534,8 +541,7 @@
         now: Instant,
     ) -> Option<(id::Upstream, Duration)> {
         let Waiting { call, excluded, .. } = waiting;
-        // Shares of the versions hold for the choice among all upstreams only.
-        if self.rollout(&call.service).is_some() {
+        if !self.may_spill(&call.service) {
             return None;
         }
         let visibility = self.visibility();
--- a/crates/core/src/entry/spill.rs
+++ b/crates/core/src/entry/spill.rs
@@ -138,6 +138,17 @@
 }
 
 impl Lender {
+    /// Ends offering, as another instance is the relay now; what was offered counts as
+    /// taken until it expires.
+    pub fn retire(&mut self, now: Instant) {
+        let mut grants = std::mem::take(&mut self.grants);
+        for granted in grants.values_mut() {
+            granted.retain(|grant| now < grant.until);
+        }
+        grants.retain(|_, granted| !granted.is_empty());
+        *self = Self { grants, ..Self::default() };
+    }
+
     /// Records what another zone needs.
     pub fn receive(&mut self, zone: id::Zone, needs: Vec<Need>, made: Instant) {
         if needs.is_empty() {
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -333,6 +333,9 @@
     pub async fn watch_memory(self, log: Logger) {
         loop {
             self.account.wait_for_shortage().await;
+            if self.account.shortage().is_none() {
+                continue;
+            }
             warn!(log, "memory for callers is short"; "held_bytes" => self.account.held());
             let mut closed = 0;
             while self.account.shortage().is_some() {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -138,6 +138,8 @@
             }
         }
         self.record_answer(status, "cut");
+        // The slot at the upstream is free whether or not the caller reads the end.
+        drop(directives);
         if let Caller::Streaming(sender) = caller {
             // Ends the body with an error, so that the caller does not take the
             // stream for complete.
--- a/crates/edge/src/trial.rs
+++ b/crates/edge/src/trial.rs
@@ -7,6 +7,12 @@
 
 /// The most counts of one rollout in a message, which has to fit into a datagram.
 const MAX_COUNTS: usize = 64;
+/// The last interval of a histogram that is accepted.
+const MAX_INTERVAL: u32 = 64;
+/// The largest count that is accepted; sums over thousands of instances do not overflow.
+const MAX_COUNT: u64 = u32::MAX as u64;
+/// The most requests that an instance or a zone may state as running.
+const MAX_RUNNING: u32 = 1 << 20;
 
 /// Encodes what is known of a rollout.
 pub fn encode(trial: Trial) -> wire::Trial {
@@ -27,14 +33,15 @@
 /// Decodes what is known of a rollout; none where it is not valid.
 pub fn decode(trial: wire::Trial) -> Option<Trial> {
     let counts = trial.counts.into_iter().map(decode_counts).collect();
-    let tally = Tally { requests: trial.requests, exposed: trial.exposed, counts };
+    let requests = trial.requests.min(MAX_COUNT);
+    let tally = Tally { requests, exposed: trial.exposed.min(MAX_COUNT), counts };
     Some(Trial {
         service: trial.service.parse().ok()?,
         to: trial.to.parse().ok()?,
         order: trial.order,
         step: trial.step,
-        running: trial.running,
-        old_running: trial.old_running,
+        running: trial.running.min(MAX_RUNNING),
+        old_running: trial.old_running.min(MAX_RUNNING),
         tally,
     })
 }
@@ -65,8 +72,8 @@
 fn decode_counts(counts: wire::Counts) -> ((id::Route, Side), Counts) {
     let side = if counts.new_version { Side::New } else { Side::Old };
     let decoded = Counts {
-        answers: counts.answers,
-        failures: counts.failures.min(counts.answers),
+        answers: counts.answers.min(MAX_COUNT),
+        failures: counts.failures.min(counts.answers).min(MAX_COUNT),
         first: decode_times(counts.first),
         pause: decode_times(counts.pause),
     };
@@ -77,6 +84,9 @@
     times.0.into_iter().map(|(interval, count)| wire::Times { interval, count }).collect()
 }
 
+/// Intervals beyond those of a histogram are dropped, and counts are bounded, so that sums
+/// of what peers state cannot overflow.
 fn decode_times(times: Vec<wire::Times>) -> Histogram {
-    Histogram(times.into_iter().map(|times| (times.interval, times.count)).collect())
+    let times = times.into_iter().filter(|times| times.interval <= MAX_INTERVAL);
+    Histogram(times.map(|times| (times.interval, times.count.min(MAX_COUNT))).collect())
 }
