--- a/crates/core/src/entry/backlog.rs
+++ b/crates/core/src/entry/backlog.rs
@@ -3,8 +3,8 @@
 //! Higher tiers go first, and within a tier the more urgent routes, so that a
 //! burst of quick questions does not delay long work. Among equals, requests
 //! that can still meet their latency target, by the least time that an upstream
-//! needs, go before those that will be late, which lose nothing more by waiting. The former are ordered by their latency
-//! target, the latter by their deadline.
+//! needs, go before those that will be late, which lose nothing more by waiting.
+//! The former are ordered by their latency target, the latter by their deadline.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -17,8 +17,9 @@
 /// buffers of the system, copies while a buffer grows, and memory that the allocator
 /// keeps: peaks were up to 1.9 times what was reserved.
 const USABLE_FRACTION: i64 = 2;
-/// Bodies up to this length may use all of the account, where it is limited as a whole, longer ones three quarters, so
-/// that ordinary requests are served beside a few long ones.
+/// Bodies up to this length may use all of the account, where it is limited as a whole,
+/// and longer ones three quarters, so that ordinary requests are served beside a few long
+/// ones.
 const SHORT_BODY_BYTES: usize = 64 << 10;
 
 /// What memory is used for.
