Revert the estimate of engines' speed, and requests one by one on reopened paths

With one request at a time on a reopened path, fewer than half of the streams that broke off with their engines were resumed at the first attempt; that test passes again.

--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -6,7 +6,6 @@
 use super::call::Call;
 use super::gossip::{self, Leaving};
 use super::limit::Group;
-use super::pace::Pace;
 use super::reach::{Failures, Reach};
 use super::rollout::share::Admitted;
 use super::upstream::{Estimate, Location, Registration, Upstream, Visibility};
@@ -24,8 +23,6 @@
 const MAX_PROBES: usize = 4;
 /// How many leaving incarnations are remembered.
 const MAX_LEAVING: usize = 1_024;
-/// The time between two reviews of the estimated speeds.
-const SPEED_REVIEW_INTERVAL: Duration = Duration::from_millis(500);
 
 /// All upstreams that are known.
 #[derive(Debug)]
@@ -40,7 +37,6 @@
     next_limit: usize,
     /// The upstreams that could not be reached lately.
     failures: Failures,
-    speeds_reviewed: Option<Instant>,
 }
 
 /// What to do with a request, by [`Fleet::choose`].
@@ -67,7 +63,6 @@
             leaving: VecDeque::new(),
             next_limit: 0,
             failures: Failures::default(),
-            speeds_reviewed: None,
         }
     }
 
@@ -293,7 +288,7 @@
     /// service that could not be reached probed soon.
     pub fn record_reached(&mut self, id: &id::Upstream, now: Instant) {
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
-        upstream.path.record_opened();
+        upstream.path.record_answer();
         let service = upstream.registration.service.clone();
         self.failures.clear(&service);
         for other in self.upstreams.values_mut() {
@@ -527,31 +522,8 @@
     }
 
     /// This instance's load on each upstream that it uses.
-    pub fn loads(&self, now: Instant) -> Vec<gossip::Load> {
+    pub fn loads(&self) -> Vec<gossip::Load> {
         let used = self.upstreams.values().filter(|u| u.own_running() > 0);
-        used.map(|upstream| upstream.load(now)).collect()
-    }
-
-    /// Lets the estimated speeds of upstreams that were not observed lately drift towards
-    /// what is typical of their service.
-    pub fn review_speeds(&mut self, now: Instant) {
-        let elapsed = self.speeds_reviewed.map(|at| now.saturating_duration_since(at));
-        if elapsed.is_some_and(|elapsed| elapsed < SPEED_REVIEW_INTERVAL) {
-            return;
-        }
-        self.speeds_reviewed = Some(now);
-        let mut paces: BTreeMap<&id::Service, Vec<&Pace>> = BTreeMap::new();
-        for upstream in self.upstreams.values().filter(|u| u.pace.observations > 0) {
-            paces.entry(&upstream.registration.service).or_default().push(&upstream.pace);
-        }
-        let typical = |(service, paces): (&id::Service, Vec<&Pace>)| {
-            Some((service.clone(), Pace::typical(paces.into_iter())?))
-        };
-        let typical: BTreeMap<_, _> = paces.into_iter().filter_map(typical).collect();
-        for upstream in self.upstreams.values_mut() {
-            if let Some(typical) = typical.get(&upstream.registration.service) {
-                upstream.drift(typical, elapsed.unwrap_or_default(), now);
-            }
-        }
+        used.map(Upstream::load).collect()
     }
 }
--- a/crates/core/src/entry/gossip.rs
+++ b/crates/core/src/entry/gossip.rs
@@ -5,7 +5,6 @@
 
 use super::pace::Pace;
 use super::rollout::tally::Tally;
-use super::slowdown::Observation;
 use super::watermark::Watermark;
 use crate::id;
 use crate::unit::{RequestRate, Tokens};
@@ -23,9 +22,6 @@
     pub pace: Pace,
     /// The rejections per second beyond which it crashes, if it named them.
     pub rejection_limit: Option<u32>,
-    /// How slow it was at its newest observation; none from builds that do not state it,
-    /// and where nothing was observed.
-    pub observation: Option<Observation>,
 }
 
 /// An upstream that said in an answer that it is leaving.
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -23,7 +23,6 @@
 pub mod rejection;
 pub mod rollout;
 pub mod scheduler;
-pub mod slowdown;
 pub mod spill;
 pub mod streams;
 pub mod upstream;
--- a/crates/core/src/entry/reach.rs
+++ b/crates/core/src/entry/reach.rs
@@ -30,8 +30,6 @@
     retry_at: Option<Instant>,
     probed_at: Option<Instant>,
     is_probed: bool,
-    /// Whether a connection was opened again and nothing was answered since.
-    is_trial: bool,
 }
 
 impl Default for Path {
@@ -42,7 +40,6 @@
             retry_at: None,
             probed_at: None,
             is_probed: false,
-            is_trial: false,
         }
     }
 }
@@ -68,34 +65,12 @@
         self.retry_at.filter(|_| !self.is_open)
     }
 
-    /// Whether the upstream gets one request at a time, as it could not be reached before
-    /// and has answered none since: another one may have its address by now.
-    ///
-    /// ```
-    /// use rosemarypond_core::entry::reach::Path;
-    /// let mut path = Path::default();
-    /// path.record_failure(std::time::Instant::now());
-    /// path.record_opened();
-    /// assert!(path.is_open() && path.is_trial());
-    /// path.record_answer();
-    /// assert!(!path.is_trial());
-    /// ```
-    pub fn is_trial(&self) -> bool {
-        self.is_trial
-    }
-
-    /// Records that something came from the upstream.
+    /// Records that something came from the upstream, or that a connection to it was
+    /// opened.
     pub fn record_answer(&mut self) {
         *self = Self { probed_at: self.probed_at, ..Self::default() };
     }
 
-    /// Records that a connection to the upstream was opened.
-    pub fn record_opened(&mut self) {
-        let is_trial = self.is_trial || !self.is_open;
-        self.record_answer();
-        self.is_trial = is_trial;
-    }
-
     /// Records that no connection to the upstream could be opened.
     pub fn record_failure(&mut self, now: Instant) {
         self.is_open = false;
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -409,7 +409,6 @@
         self.review_baselines(now);
         self.review_rollouts(now);
         self.update_turns(now);
-        self.fleet.review_speeds(now);
         self.probe(now);
         self.expire(now);
         self.dispatch_waiting(now);
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -357,7 +357,7 @@
             age,
             sequence: self.sequence,
             leaving: self.is_stopping,
-            loads: if has_loads { self.zone_loads(now) } else { self.borrowed_loads(now) },
+            loads: if has_loads { self.zone_loads() } else { self.borrowed_loads() },
             admitted: self.quota.admitted().map(|(t, c)| (t.clone(), c)).collect(),
             digest,
             leaving_upstreams: self.fleet.leaving().cloned().collect(),
--- a/crates/core/src/entry/scheduler/spill.rs
+++ b/crates/core/src/entry/scheduler/spill.rs
@@ -148,7 +148,6 @@
             prefill: Tokens(0),
             pace: offer.pace,
             rejection_limit: None,
-            observation: None,
         };
         let mut loads = std::mem::take(&mut gossip.loads);
         loads.retain(is_own);
@@ -396,7 +395,7 @@
         let reserve = |(id, granted): (&id::Upstream, u32)| {
             let upstream = self.fleet.get(id)?;
             let running = granted.saturating_sub(self.lent_running(upstream));
-            (running > 0).then(|| Load { running, prefill: Tokens(0), ..upstream.load(now) })
+            (running > 0).then(|| Load { running, prefill: Tokens(0), ..upstream.load() })
         };
         let is_lending = granted.values().any(|slots| *slots > 0);
         let reserved: Vec<_> = granted.into_iter().filter_map(reserve).collect();
@@ -461,8 +460,8 @@
     }
 
     /// This instance's loads and the slots that it reserves, for peers of this zone.
-    pub(super) fn zone_loads(&self, now: Instant) -> Vec<Load> {
-        let mut loads = self.fleet.loads(now);
+    pub(super) fn zone_loads(&self) -> Vec<Load> {
+        let mut loads = self.fleet.loads();
         for reserved in &self.spill.reserved {
             match loads.iter_mut().find(|load| load.upstream == reserved.upstream) {
                 Some(load) => load.running = load.running.saturating_add(reserved.running),
@@ -473,7 +472,7 @@
     }
 
     /// What this zone runs on upstreams of others, for these.
-    pub(super) fn borrowed_loads(&self, now: Instant) -> Vec<Load> {
+    pub(super) fn borrowed_loads(&self) -> Vec<Load> {
         if !self.is_spill_relay() {
             return vec![];
         }
@@ -482,7 +481,7 @@
         let load = |upstream: &Upstream| Load {
             running: upstream.running(),
             prefill: upstream.prefill_work(),
-            ..upstream.load(now)
+            ..upstream.load()
         };
         used.map(load).collect()
     }
--- a/crates/core/src/entry/upstream.rs
+++ b/crates/core/src/entry/upstream.rs
@@ -11,7 +11,6 @@
 use super::pace::Pace;
 use super::reach::Path;
 use super::rejection;
-use super::slowdown::{self, Observation, Slowdown};
 use crate::hash::stable_hash;
 use crate::id;
 use crate::unit::{RequestRate, Tokens};
@@ -34,10 +33,6 @@
 /// The time in which the failure rate halves without new outcomes, so that a
 /// failing upstream is used again from time to time.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
-/// An upstream that was not observed for this long drifts towards the typical speed ...
-const OBSERVED_TIME: Duration = Duration::from_secs(5);
-/// ... half of the way in this time.
-const DRIFT_HALF_LIFE: Duration = Duration::from_secs(30);
 /// The cost of an attempt that is certain to fail, as time.
 const FAILURE_COST: Duration = Duration::from_millis(2_500);
 /// The cost of sending to another availability zone, as time.
@@ -104,8 +99,7 @@
     prompt: Tokens,
     /// Prompt tokens that were to be processed up to and including this request.
     work: Tokens,
-    /// When its first token came, and how many other requests ran then.
-    first: Option<(Instant, u32)>,
+    first: Option<Instant>,
 }
 
 /// A peer's load on an upstream.
@@ -120,9 +114,8 @@
 pub struct Upstream {
     /// Its entry in the directory.
     pub registration: Registration,
-    /// Its estimated lasting speed.
+    /// Its estimated speed.
     pub pace: Pace,
-    slowdown: Slowdown,
     running: BTreeMap<id::Request, Attempt>,
     peer_loads: HashMap<id::Instance, Load>,
     failures: f64,
@@ -156,7 +149,6 @@
         Self {
             registration,
             pace: Pace::default(),
-            slowdown: Slowdown::default(),
             running: BTreeMap::new(),
             peer_loads: HashMap::new(),
             failures: 0.0,
@@ -215,9 +207,6 @@
     /// are received. Outside a full mesh, each instance therefore uses an equal
     /// share of its slots and its queue instead.
     pub(super) fn has_room(&self, call: &Call, visibility: Visibility) -> bool {
-        if self.path.is_trial() && self.own_running() > 0 {
-            return false;
-        }
         if let Some(share) = self.rejection_limit.share() {
             return self.own_running() < share && self.running() < self.registration.slots;
         }
@@ -272,36 +261,6 @@
         self.pace.time_to_first_token(call.prompt)
     }
 
-    /// How many times slower than usual it is at the moment, by the newest first tokens
-    /// and by those that are overdue.
-    fn slowdown(&self, now: Instant) -> f64 {
-        self.overdue(now).max(self.slowdown.factor(now))
-    }
-
-    /// The same by the first tokens that are overdue.
-    fn overdue(&self, now: Instant) -> f64 {
-        let unanswered = self.running.values().filter(|a| a.first.is_none() && a.prompt.0 > 0);
-        let ratio = |attempt: &Attempt| {
-            let waited = now.saturating_duration_since(attempt.started);
-            slowdown::ratio(self.pace.time_to_first_token(attempt.work), waited)
-        };
-        unanswered.map(ratio).fold(1.0, f64::max)
-    }
-
-    /// Lets its estimated speed drift towards what is typical of its service, for the
-    /// `elapsed` time, unless it was observed lately by this instance or a peer.
-    pub(super) fn drift(&mut self, typical: &Pace, elapsed: Duration, now: Instant) {
-        if self.pace.observations == 0 {
-            self.pace = *typical;
-            return;
-        }
-        let is_recent = |at| now.saturating_duration_since(at) < OBSERVED_TIME;
-        if !self.slowdown.observed_at().is_some_and(is_recent) {
-            let halvings = elapsed.as_secs_f64() / DRIFT_HALF_LIFE.as_secs_f64();
-            self.pace.drift(typical, 1.0 - 0.5f64.powf(halvings));
-        }
-    }
-
     /// Whether its estimate is no reason to withhold a request: it runs nothing, and
     /// this instance has seen no outcome from it for [`TRIAL_INTERVAL`].
     pub(super) fn is_trial_due(&self, now: Instant) -> bool {
@@ -332,9 +291,7 @@
         } else {
             let first =
                 self.pace.time_to_first_token(Tokens(self.prefill().saturating_add(call.prompt.0)));
-            let end = first + self.pace.answer_time(call.answer, self.running());
-            let factor = self.slowdown(now);
-            (slowdown::stretch(first, factor), slowdown::stretch(end, factor))
+            (first, first + self.pace.answer_time(call.answer, self.running()))
         };
         let zone = if self.registration.zone == location.zone { Duration::ZERO } else { ZONE_COST };
         let offset =
@@ -517,14 +474,12 @@
     /// Records the first byte or event of an answer.
     pub(super) fn record_first_byte(&mut self, request: id::Request, now: Instant) {
         self.reset_backoff();
-        let others = self.running().saturating_sub(1);
         let Some(attempt) = self.running.get_mut(&request) else { return };
         if attempt.first.is_some() || attempt.prompt.0 == 0 {
             return;
         }
-        attempt.first = Some((now, others));
+        attempt.first = Some(now);
         let (work, taken) = (attempt.work, now.saturating_duration_since(attempt.started));
-        self.slowdown.observe(self.pace.time_to_first_token(work), taken, now);
         self.pace.observe_first_token(work, taken);
     }
 
@@ -539,11 +494,8 @@
         let Some(tokens) = tokens else { return };
         self.reset_backoff();
         match attempt.first {
-            Some((first, others)) => {
-                // The mean of those that ran at its first and at its last token.
-                let others = others.saturating_add(self.running()) / 2;
-                let taken = now.saturating_duration_since(first);
-                self.pace.observe_answer(tokens, taken, others);
+            Some(first) => {
+                self.pace.observe_answer(tokens, now.saturating_duration_since(first));
             }
             None if attempt.prompt.0 == 0 => {
                 self.pace.observe_call(now.saturating_duration_since(attempt.started));
@@ -559,7 +511,7 @@
 
     /// Updates the load of a peer.
     pub(super) fn update_peer(&mut self, from: &id::Instance, load: &gossip::Load, now: Instant) {
-        self.receive_speed(load, now);
+        self.pace.merge(&load.pace);
         self.rejection_limit.receive(load.rejection_limit, now);
         if load.running > 0 {
             let peer_load = Load { running: load.running, prefill: load.prefill };
@@ -567,42 +519,19 @@
         }
     }
 
-    /// Adds what a peer knows of its speed. A peer states that in each of its messages:
-    /// it is added where its newest observation is new, or, from a build that does not
-    /// tell, where it knows of more observations.
-    fn receive_speed(&mut self, load: &gossip::Load, now: Instant) {
-        let is_news = match load.observation {
-            Some(observation) => self.slowdown.receive(observation, now),
-            None => load.pace.observations > self.pace.observations,
-        };
-        if is_news {
-            self.pace.merge(&load.pace);
-        }
-    }
-
     /// Removes the load of a peer.
     pub(super) fn remove_peer(&mut self, peer: &id::Instance) {
         self.peer_loads.remove(peer);
     }
 
-    /// What peers have to know of its speed at the moment.
-    fn observation(&self, now: Instant) -> Option<Observation> {
-        let overdue = self.overdue(now);
-        if overdue > self.slowdown.factor(now) {
-            return Some(Observation { factor: overdue, age: Duration::ZERO });
-        }
-        self.slowdown.observation(now)
-    }
-
     /// This instance's load on it, for peers.
-    pub(super) fn load(&self, now: Instant) -> gossip::Load {
+    pub(super) fn load(&self) -> gossip::Load {
         gossip::Load {
             upstream: self.registration.id.clone(),
             running: self.own_running(),
             prefill: Tokens(self.own_prefill()),
             pace: self.pace,
             rejection_limit: self.rejection_limit.per_second(),
-            observation: self.observation(now),
         }
     }
 }
--- a/crates/core/tests/entry/overload.rs
+++ b/crates/core/tests/entry/overload.rs
@@ -446,7 +446,7 @@
     assert!(s >= streams && p >= plain && l <= most_long_waits, "{s} {p} {l}");
 }
 
-/// So many answers prove a lasting speed; each moves the estimate by a limited factor.
+/// So many slow answers prove a lasting speed.
 const SLOW_ANSWERS: u64 = 60;
 
 /// Nothing is sent to an engine that is known to be too slow for the caller, while one
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -14,7 +14,6 @@
 };
 use rosemarypond_core::entry::pace::Pace;
 use rosemarypond_core::entry::scheduler::{Audience, Event};
-use rosemarypond_core::entry::slowdown::Observation;
 use rosemarypond_core::entry::watermark::{Era, Watermark};
 use rosemarypond_core::id;
 use rosemarypond_core::unit::{RequestRate, Tokens};
@@ -133,8 +132,6 @@
         call_ms: load.pace.call_ms as f32,
         seen: load.pace.observations,
         rejection_limit: load.rejection_limit,
-        slowdown: load.observation.map(|o| o.factor as f32).filter(|factor| *factor > 1.0),
-        observed_ms: load.observation.map(|o| o.age.as_millis().min(u32::MAX.into()) as u32),
     };
     let digest = |digest: Digest| wire::Digest {
         instances: digest.instances,
@@ -382,11 +379,7 @@
             load.upstream.parse().ok().filter(|_| is_finite && load.call_ms.is_finite())?;
         let rejection_limit = load.rejection_limit;
         let prefill = Tokens(load.prefill);
-        let factor = f64::from(load.slowdown.filter(|factor| factor.is_finite()).unwrap_or(1.0));
-        let observation = |ms| Observation { factor, age: Duration::from_millis(u64::from(ms)) };
-        let observation = load.observed_ms.map(observation);
-        let running = load.running;
-        Some(Load { upstream, running, prefill, pace, rejection_limit, observation })
+        Some(Load { upstream, running: load.running, prefill, pace, rejection_limit })
     };
     let leaving = |leaving: wire::Leaving| {
         let upstream = leaving.upstream.parse().ok()?;
