--- a/review/harness-2/cases/mod.rs
+++ b/review/harness-2/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases, and what they share.
 
+pub mod crowd;
 pub mod revoked_key;
 pub mod silent_store;
 
@@ -40,8 +41,13 @@
     }
 }
 
-/// A configuration with these tenants, each with its keys.
+/// A configuration with these tenants, each with its keys, and no quotas.
 pub fn configuration(version: u64, tenants: &[(&str, &[&str])]) -> String {
+    configuration_with(version, tenants, "")
+}
+
+/// The same with more fields of each tenant.
+pub fn configuration_with(version: u64, tenants: &[(&str, &[&str])], more: &str) -> String {
     let route = |name: &str, prefix: &str, kind: &str, timeout: u32, service: &str, rest: &str| {
         format!(
             "{{\"Name\":\"{name}\",\"Host\":\"{HOST}\",\"Prefix\":\"{prefix}\",\"Kind\":\"{kind}\",\
@@ -65,7 +71,7 @@
         let keys: Vec<_> = keys.iter().map(|key| format!("\"{key}\"")).collect();
         format!(
             "{{\"Name\":\"{name}\",\"ApiKeys\":[{}],\"Priority\":1,\"Unit\":\"token_usage\",\
-             \"PlainTokens\":200}}",
+             \"PlainTokens\":200{more}}}",
             keys.join(",")
         )
     };
