--- a/review/harness-2/cases/mod.rs
+++ b/review/harness-2/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, and what they share.
 
 pub mod crowd;
+pub mod door;
 pub mod revoked_key;
 pub mod silent_store;
 
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -28,6 +28,7 @@
     let verdict = match name.as_str() {
         "silent-store" => cases::silent_store::run(&record, trouble),
         "crowd" => cases::crowd::run(&record, trouble),
+        "door" => cases::door::run(&record, trouble),
         "revoked-key" => cases::revoked_key::run(&record, trouble),
         _ => Verdict::NotRun(format!("no case '{name}'")),
     };
