--- a/review/harness-2/link.rs
+++ b/review/harness-2/link.rs
@@ -1,4 +1,4 @@
-//! A proxy in front of the store whose open connections can go silent for good.
+//! A proxy in front of the store of which an open connection can go silent for good.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -12,18 +12,19 @@
 #[derive(Clone)]
 pub struct Link {
     pub address: SocketAddr,
-    /// Connections of an earlier number than this carry nothing any more.
-    silent_below: Arc<AtomicU64>,
+    /// The connection of this number carries nothing any more.
+    silent: Arc<AtomicU64>,
     opened: Arc<AtomicU64>,
-    /// When the directory was last asked for.
-    asked: Arc<Mutex<Option<Instant>>>,
+    /// When the directory was last asked for, and on which connection.
+    asked: Arc<Mutex<Option<(Instant, u64)>>>,
 }
 
 impl Link {
     pub fn start(target: SocketAddr) -> Self {
         let listener = http::listen();
         let address = listener.local_addr().expect("an address");
-        let link = Self { address, silent_below: Arc::default(), opened: Arc::default(), asked: Arc::default() };
+        let silent = Arc::new(AtomicU64::new(u64::MAX));
+        let link = Self { address, silent, opened: Arc::default(), asked: Arc::default() };
         let accepting = link.clone();
         thread::spawn(move || {
             for stream in listener.incoming() {
@@ -38,11 +39,13 @@
         link
     }
 
-    /// All connections that are open now go silent; later ones work.
+    /// The connection on which the directory was last asked for goes silent; all others
+    /// work. Returns how many were opened.
     pub fn silence(&self) -> u64 {
-        let opened = self.opened.load(Ordering::SeqCst);
-        self.silent_below.store(opened, Ordering::SeqCst);
-        opened
+        if let Some((_, number)) = *self.asked.lock().expect("no thread panics") {
+            self.silent.store(number, Ordering::SeqCst);
+        }
+        self.opened.load(Ordering::SeqCst)
     }
 
     /// Waits until the directory has been asked for.
@@ -55,13 +58,13 @@
 
     fn carry(&self, from: &TcpStream, to: &TcpStream, number: u64) {
         let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else { return };
-        let silent_below = self.silent_below.clone();
+        let silent = self.silent.clone();
         let asked = self.asked.clone();
         thread::spawn(move || {
             let mut buffer = [0; 16 << 10];
             loop {
                 let read = from.read(&mut buffer).unwrap_or(0);
-                let is_silent = number < silent_below.load(Ordering::SeqCst);
+                let is_silent = number == silent.load(Ordering::SeqCst);
                 if read == 0 {
                     // Not even the end of a silent connection is carried.
                     if !is_silent {
@@ -70,7 +73,7 @@
                     return;
                 }
                 if buffer[..read].windows(13).any(|part| part == b"Table=servers") {
-                    *asked.lock().expect("no thread panics") = Some(Instant::now());
+                    *asked.lock().expect("no thread panics") = Some((Instant::now(), number));
                 }
                 if !is_silent && to.write_all(&buffer[..read]).is_err() {
                     return;
