Rely on the store only once its era is settled, also after a start

Cause: after the store's return its answers prove nothing for REWRITE_TIME, but only where the instance had seen another era before. One that has just started took the first answer for a proof. Ruled out: the version that peers know (gossip comes after the first read), and the age of the proof (it was given falsely, not too old).

Change: the first era that an instance sees counts as new, unless the whole system starts for the first time. So that restarts stay short, instances that know an era to be settled say so in their rows (settled_era); a copy from before the return cannot name the new era. What peers have read counts only in a settled era, as an older build may rely on the copy. Found on the way: instances that do not poll read the configuration without a pause while the answers proved nothing.

Of eras, the tests instance_that_starts_after_the_return_serves_no_revoked_key and instance_that_starts_beside_an_informed_peer_serves_no_revoked_key failed before; instance_that_starts_beside_a_mistaken_peer_serves_no_revoked_key fails without the condition on peers. Rows are readable both ways: row_of_an_older_build_proves_nothing, row_of_an_instance_can_be_read_by_older_builds.

--- a/crates/core/src/entry/proof.rs
+++ b/crates/core/src/entry/proof.rs
@@ -53,34 +53,73 @@
 }
 
 /// What the store's answers say about the configuration that it holds.
+///
+/// The store may come back from an older copy, which lacks what was written last; it is
+/// written again within [`REWRITE_TIME`]. An era is settled once that time has passed
+/// since an answer showed the instance that it has begun. An instance that has just
+/// started cannot tell a new era from one that has lasted for hours, so that it waits
+/// for as long, unless a record in the store shows that another instance has waited
+/// before: the copy cannot hold a record of the era that began with it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Stored {
+    /// Whether the store cannot have come back before this instance's first answer.
+    is_first_start: bool,
     era: Option<Era>,
     /// The version of the valid configuration that the store holds in this era.
     version: Option<Version>,
     /// When the answers of this era begin to prove something.
     settled_at: Uptime,
+    /// The era that a record in the store shows to be settled.
+    recorded: Option<Era>,
+    /// The era in which an answer has proved something.
+    proved: Option<Era>,
 }
 
 impl Stored {
+    /// Returns the state before the first answer; `is_first_start` where the whole system
+    /// starts for the first time, so that no configuration can have been lost.
+    pub fn new(is_first_start: bool) -> Self {
+        Self { is_first_start, ..Self::default() }
+    }
+
     /// Records the era of an answer that was received at `now`; in a new era the
     /// store's configuration is not known until it is read again.
     pub fn record_era(&mut self, era: Era, now: Uptime) {
-        match self.era {
-            Some(known) if known == era => return,
-            Some(_) => self.settled_at = Uptime(now.0 + REWRITE_TIME),
-            None => {}
+        if self.era == Some(era) {
+            return;
         }
+        let is_first_era = self.era.is_none() && self.is_first_start;
+        self.settled_at = if is_first_era { now } else { Uptime(now.0 + REWRITE_TIME) };
         self.era = Some(era);
         self.version = None;
     }
 
+    /// Records that the store holds the record that an era is settled, in an answer of
+    /// that era.
+    pub fn record_settled(&mut self, era: Era) {
+        self.recorded = Some(era);
+    }
+
     /// Records the version of the store's configuration; none if it is not valid.
     pub fn record_version(&mut self, version: Option<Version>) {
         self.version = version;
     }
 
-    /// Whether an answer that is received at `now` proves that the version in
+    /// How long after `now` the answers of the era begin to prove something; zero where
+    /// they do already, or where no answer was received.
+    pub fn time_to_settle(&self, now: Uptime) -> Duration {
+        if self.recorded == self.era {
+            return Duration::ZERO;
+        }
+        self.settled_at.0.saturating_sub(now.0)
+    }
+
+    /// Whether this era is the last one known here, and is settled at `now`.
+    pub fn is_settled(&self, era: Era, now: Uptime) -> bool {
+        self.era == Some(era) && self.time_to_settle(now).is_zero()
+    }
+
+    /// Returns whether an answer that is received at `now` proves that the version in
     /// force is the newest, while version `known` is known to exist.
     ///
     /// ```
@@ -89,7 +128,7 @@
     /// use rosemarypond_core::entry::proof::{Stored, Uptime};
     /// use rosemarypond_core::entry::watermark::Era;
     /// let at = |s| Uptime(Duration::from_secs(s));
-    /// let mut stored = Stored::default();
+    /// let mut stored = Stored::new(true);
     /// stored.record_era(Era(1), at(0));
     /// stored.record_version(Some(Version(7)));
     /// assert!(stored.proves(Some(Version(7)), Version(7), at(0)));
@@ -101,9 +140,23 @@
     /// assert!(!stored.proves(Some(Version(7)), Version(7), at(11)));
     /// assert!(stored.proves(Some(Version(7)), Version(7), at(13)));
     /// ```
-    pub fn proves(&self, in_force: Option<Version>, known: Version, now: Uptime) -> bool {
+    pub fn proves(&mut self, in_force: Option<Version>, known: Version, now: Uptime) -> bool {
         let is_newest = in_force.is_some_and(|version| version >= known);
-        is_newest && self.version == in_force && now >= self.settled_at
+        let proves = is_newest && self.version == in_force && self.time_to_settle(now).is_zero();
+        if proves {
+            self.proved = self.era;
+        }
+        proves
+    }
+
+    /// The last era in which an answer has proved something.
+    pub fn proved_era(&self) -> Option<Era> {
+        self.proved
+    }
+
+    /// Whether an era is known to be settled, so that a record in the store may say so.
+    pub fn is_known_settled(&self, era: Era) -> bool {
+        self.proved == Some(era) || self.recorded == Some(era)
     }
 }
 
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod network;
 mod overload;
 mod placement;
+mod proof;
 mod quarantine;
 mod quota;
 mod random;
