Count parts of events in the account, and read less ahead

Reported by other operators: bytes without end from a faulty engine took all the memory of the machine that had called it, and the requests of other clients ended with its process (LOST).

Cause: the part of an event that a stream has received (up to 256 KiB) was not counted, nor what is read ahead, up to 64 KiB a connection where the engine sends fast.

Change: parts of events are reserved as responses, or the attempt counts as broken; at most 16 KiB are read ahead.

--- a/crates/edge/src/event_stream.rs
+++ b/crates/edge/src/event_stream.rs
@@ -61,6 +61,11 @@
         !self.buffer.is_empty()
     }
 
+    /// The memory for the remaining bytes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Whether the remaining bytes exceed [`MAX_EVENT_BYTES`].
     pub fn is_overlong(&self) -> bool {
         self.buffer.len() > MAX_EVENT_BYTES
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -104,9 +104,9 @@
     }
 }
 
-/// The most that is read ahead from an upstream, in bytes. With the default of some
-/// 400 KiB, 50 responses of 1 MiB for slow readers took more memory than their account.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// The most that is read ahead on a connection, in bytes; no head of a response may be
+/// longer. No account counts these buffers.
+const MAX_BUFFER_BYTES: usize = 16 << 10;
 
 /// The task that drives a connection; dropping it closes the connection.
 #[derive(Debug)]
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -158,6 +158,7 @@
         let Stream { parts, mut body, connection, stall_timeout, .. } = stream;
         let Caller::Streaming(sender) = caller else { return End::CallerLeft };
         let mut parser = Parser::default();
+        let mut partial = self.memory.sibling(Kind::Responses);
         let mut check_at = self.stall_deadline(stall_timeout);
         loop {
             let frame = tokio::select! {
@@ -190,7 +191,11 @@
                     parser.push(&bytes);
                 }
             }
+            if partial.resize(parser.held_bytes()).is_err() {
+                return End::Broken;
+            }
             while let Some(event) = parser.next_event() {
+                partial.shrink(parser.held_bytes());
                 match progress.accepts(&event) {
                     Err(Broken) => return End::Broken,
                     Ok(false) => continue,
