Send nothing that a stopping instance is not likely to finish, and answer what runs at its end

Reported by other operators: in a planned stop, requests that came late in the grace time were passed on and cut at its end with no answer, among them some that may not be repeated (LOST). Here the same: a request whose head or body became complete 0.7 s before the end was sent to an engine that takes 1.2 s and had no answer when the instance ended; one that became complete 0.35 s before the end was sent as well; what ran since before the stop ended with a closed connection.

Cause: until 300 ms before the end whatever waited was sent, without a look at the time left; incomplete requests were served once complete, without the timeout for heads; nobody answered the callers of what still ran.

Change: entry::ending decides by the time on an idle upstream whether a request is still sent, or refused as not run; 150 ms before the end the callers of what runs get 502. It is a decision by the time left and not by the clock alone, since requests that waited to be accepted when the listener closed are to be served (drain requests_that_wait_to_be_accepted_at_the_close_are_served).

--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -231,6 +231,18 @@
         own.or(other).unwrap_or_default()
     }
 
+    /// The least time to the end of the answer at the upstreams that may take a request;
+    /// zero if none takes work.
+    pub fn least_time_to_end(&self, call: &Call, excluded: &[id::Upstream]) -> Duration {
+        let usable = self.upstreams.values().filter(|upstream| {
+            upstream.registration.service == call.service
+                && upstream.takes_work()
+                && !excluded.contains(&upstream.registration.id)
+                && call.origin.allows(upstream.registration.release.as_ref())
+        });
+        usable.map(|upstream| upstream.idle_time_to_end(call)).min().unwrap_or_default()
+    }
+
     /// Records that a request was sent.
     pub fn record_sent(&mut self, id: &id::Upstream, call: &Call, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -10,6 +10,7 @@
 pub mod baseline;
 pub mod budget;
 pub mod call;
+pub mod ending;
 pub mod fleet;
 pub mod gossip;
 pub mod limit;
--- a/crates/core/src/entry/scheduler/event.rs
+++ b/crates/core/src/entry/scheduler/event.rs
@@ -97,8 +97,9 @@
     StoreRead(Watermark),
     /// A peer sent its state.
     Received(Box<Gossip>),
-    /// The instance is shutting down; peers are informed.
-    Stop,
+    /// The instance is shutting down, and cuts off what still runs at this time; peers are
+    /// informed.
+    Stop(Instant),
     /// The instance is about to end: what waits, and what would wait, is refused.
     Close,
     /// [`super::TICK_INTERVAL`] has passed.
--- a/crates/core/src/entry/scheduler/mod.rs
+++ b/crates/core/src/entry/scheduler/mod.rs
@@ -20,6 +20,7 @@
 use super::baseline::Baselines;
 use super::budget::{Allowance, Budget};
 use super::call::{Call, Origin, Reason};
+use super::ending::Ending;
 use super::fleet::{Choice, Fleet};
 use super::gossip;
 use super::plan::Plan;
@@ -121,7 +122,8 @@
     last_turns: Option<Instant>,
     /// Whether there is a change that was not sent to peers.
     has_changes: bool,
-    is_stopping: bool,
+    /// The end of the instance, if it is stopping.
+    ending: Option<Ending>,
     /// Whether nothing may wait any more.
     is_closed: bool,
     actions: Vec<Action>,
@@ -158,7 +160,7 @@
             last_other_zones_gossip: None,
             last_turns: None,
             has_changes: false,
-            is_stopping: false,
+            ending: None,
             is_closed: false,
             actions: Vec::new(),
         }
@@ -214,7 +216,7 @@
             Event::PeerRegistered(peer, zone) => self.peer_registered(now, peer, zone),
             Event::StoreRead(watermark) => self.update_watermark(&watermark),
             Event::Received(gossip) => self.received(now, *gossip),
-            Event::Stop => self.stop(now),
+            Event::Stop(at) => self.stop(now, at),
             Event::Close => self.close(now),
             Event::Tick => self.tick(now),
         }
@@ -343,6 +345,7 @@
         if self.backlog.is_empty() {
             return;
         }
+        self.refuse_unfinishable(now);
         let visibility = self.visibility();
         let reaches = self.fleet.partial_reaches();
         let mut full = vec![];
@@ -417,8 +420,8 @@
         self.gossip(now);
     }
 
-    fn stop(&mut self, now: Instant) {
-        self.is_stopping = true;
+    fn stop(&mut self, now: Instant, at: Instant) {
+        self.ending = Some(Ending::new(at));
         self.has_changes = true;
         self.last_gossip = None;
         self.last_other_zones_gossip = None;
--- a/crates/core/src/entry/scheduler/peers.rs
+++ b/crates/core/src/entry/scheduler/peers.rs
@@ -356,7 +356,7 @@
             zone: self.options.location.zone.clone(),
             age,
             sequence: self.sequence,
-            leaving: self.is_stopping,
+            leaving: self.ending.is_some(),
             loads: if has_loads { self.zone_loads() } else { self.borrowed_loads() },
             admitted: self.quota.admitted().map(|(t, c)| (t.clone(), c)).collect(),
             digest,
--- a/crates/core/src/entry/scheduler/refusals.rs
+++ b/crates/core/src/entry/scheduler/refusals.rs
@@ -125,6 +125,19 @@
         }
     }
 
+    /// Refuses waiting requests that are not likely to be answered before the instance ends.
+    pub(super) fn refuse_unfinishable(&mut self, now: Instant) {
+        let Some(ending) = self.ending else { return };
+        let has_time = |w: &&Waiting| {
+            ending.has_time_for(self.fleet.least_time_to_end(&w.call, &w.excluded), now)
+        };
+        let late = self.backlog.iter().filter(|w| !has_time(w));
+        let late: Vec<_> = late.map(|w| w.call.id).collect();
+        for id in late {
+            self.refuse(now, id, Reason::Stopping);
+        }
+    }
+
     /// Refuses waiting requests whose upstreams all asked for a pause that ends
     /// too late for them.
     fn refuse_paused(&mut self, now: Instant) {
--- a/crates/core/src/entry/scheduler/spill.rs
+++ b/crates/core/src/entry/scheduler/spill.rs
@@ -118,7 +118,7 @@
     /// Whether this instance is the relay that reports needs and offers of its zone; the
     /// other relays report none, so that nothing adds up.
     fn is_spill_relay(&self) -> bool {
-        self.is_spill_active() && !self.is_stopping && self.preferred_peers() == 0
+        self.is_spill_active() && self.ending.is_none() && self.preferred_peers() == 0
     }
 
     /// Takes over what another zone needs, offers and uses.
--- a/crates/core/src/entry/upstream.rs
+++ b/crates/core/src/entry/upstream.rs
@@ -261,6 +261,15 @@
         self.pace.time_to_first_token(call.prompt)
     }
 
+    /// The time to the end of the answer if nothing else ran on it.
+    pub(super) fn idle_time_to_end(&self, call: &Call) -> Duration {
+        let rest = match call.prompt.0 {
+            0 => Duration::ZERO,
+            _ => self.pace.answer_time(call.answer, 0),
+        };
+        self.idle_time_to_first(call) + rest
+    }
+
     /// Whether its estimate is no reason to withhold a request: it runs nothing, and
     /// this instance has seen no outcome from it for [`TRIAL_INTERVAL`].
     pub(super) fn is_trial_due(&self, now: Instant) -> bool {
--- a/crates/core/tests/entry/main.rs
+++ b/crates/core/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod baselines;
 mod delegations;
+mod ending;
 mod foreign;
 mod limit;
 mod limits;
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, http};
@@ -20,7 +20,7 @@
 use rosemarypond_core::id;
 use rosemarypond_core::unit::{RequestRate, Tokens};
 use slog::{Logger, info};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -75,6 +75,8 @@
     proof: Cell<Proof>,
     last_id: Cell<u64>,
     is_stopping: Cell<bool>,
+    /// Whether no answer is waited for any more.
+    has_abandoned: watch::Sender<bool>,
 }
 
 fn not_ready(reason: Reason) -> Refusal {
@@ -96,6 +98,7 @@
             proof: Cell::new(Proof::default()),
             last_id: Cell::new(0),
             is_stopping: Cell::new(false),
+            has_abandoned: watch::channel(false).0,
         }
     }
 
@@ -157,12 +160,7 @@
 
     /// Records the limit that an upstream named, or that it named none, in an answer
     /// to a request that was sent at `sent`.
-    pub fn record_limit(
-        &self,
-        upstream: &Registration,
-        rate: Option<RequestRate>,
-        sent: std::time::Instant,
-    ) {
+    pub fn record_limit(&self, upstream: &Registration, rate: Option<RequestRate>, sent: Instant) {
         let Registration { id, incarnation, .. } = upstream;
         let (was_limited, known) = self
             .handle
@@ -203,10 +201,11 @@
         !self.is_stopping.get() && self.plan.borrow().is_some() && self.is_plan_current()
     }
 
-    /// Marks the instance as stopping, and has the scheduler inform its peers.
-    pub fn stop(&self) {
+    /// Marks the instance as stopping, and has the scheduler inform its peers; what still
+    /// runs at `at` is cut off.
+    pub fn stop(&self, at: Instant) {
         self.is_stopping.set(true);
-        self.handle.event(Event::Stop);
+        self.handle.event(Event::Stop(at));
     }
 
     /// Refuses what still waits, as the instance is about to end.
@@ -214,6 +213,12 @@
         self.handle.event(Event::Close);
     }
 
+    /// Answers the callers of requests that still run, as the instance is about to end:
+    /// their answers are lost. Streams that have begun are left to break off.
+    pub fn abandon(&self) {
+        self.has_abandoned.send_replace(true);
+    }
+
     /// Whether the instance is stopping.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.get()
@@ -308,11 +313,29 @@
     async fn run_exchange(self: Rc<Self>, exchange: Exchange) -> Response<Reply> {
         let (answer, answered) = oneshot::channel();
         let directives = self.handle.submit(exchange.call.clone());
+        let is_delegated = exchange.call.is_delegated();
+        let request = exchange.head.request.clone();
         spawn_local(exchange.run(directives, answer));
-        match answered.await {
-            Ok(response) => response,
-            Err(_) => reply::full((self.dialect.refuse)(&Refusal::Lost)),
-        }
+        let mut has_abandoned = self.has_abandoned.subscribe();
+        let answered = tokio::select! {
+            // An answer that is there is passed on.
+            biased;
+            answered = answered => answered.ok(),
+            // The sender lives as long as the gateway.
+            _ = has_abandoned.wait_for(|has_abandoned| *has_abandoned) => {
+                self.metrics.count_answer(Refusal::Lost.as_str());
+                info!(self.log, "request still runs at the end of the instance; answer lost";
+                    "request" => request);
+                None
+            }
+        };
+        answered.unwrap_or_else(|| {
+            let mut response = (self.dialect.refuse)(&Refusal::Lost);
+            if is_delegated {
+                Report::new((&Refusal::Lost).into(), None).write(response.headers_mut());
+            }
+            reply::full(response)
+        })
     }
 
     /// Reads and authorizes a request, and prepares its exchange.
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -242,12 +242,12 @@
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = sleep(TIMEOUT_CHECK_INTERVAL), if !is_closing => {
+            () = sleep(TIMEOUT_CHECK_INTERVAL) => {
                 let limits = (options.limits)();
                 if activity.head_time() > limits.head_timeout {
                     return;
                 }
-                if activity.idle_time() > limits.idle_timeout {
+                if !is_closing && activity.idle_time() > limits.idle_timeout {
                     is_closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
