Count answers of upstreams while they are read, on the product's own interface as well

What callers saw: 40 requests at a service whose body has no end brought a daemon with memory 48 MiB to 618,144 KiB (LOST once the machine runs out); streams without end of requests with a key, which are kept for retries, to 81,012 KiB.

Cause: an answer counted only once it was whole, after up to 16 MiB of it had been read, and the events of a kept stream had no bound, though nothing over 256 KiB is stored.

Change: upstream::exchange reads into memory that is reserved first (body::read), parts of events are reserved, and a stream that is too long to be stored is kept no further.

--- a/crates/daemon/src/gateway/held.rs
+++ b/crates/daemon/src/gateway/held.rs
@@ -9,7 +9,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Response, header, http};
 use rosemarypond_core::claim::{Ended, Verdict};
-use rosemarypond_core::config::{Document, Kind, Version};
+use rosemarypond_core::config::{self, Document, Version};
 use rosemarypond_core::event::Event;
 use rosemarypond_core::id;
 use rosemarypond_core::outcome::Reason;
@@ -17,7 +17,7 @@
 use rosemarypond_core::resume::{self, Grant};
 use rosemarypond_core::unit::Tokens;
 use rosemarypond_edge::connections::Activity;
-use rosemarypond_edge::memory;
+use rosemarypond_edge::memory::{Kind, Memory};
 use rosemarypond_edge::reply::{self, Caller, Reply, Sender};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
@@ -26,6 +26,7 @@
 use super::intake::{self, Intake};
 use super::{Gateway, Permit, Problem, Reading, refuse_unread};
 use crate::answer::Answer;
+use crate::platform::MAX_KEPT_BYTES;
 use crate::runtime::Directive;
 use crate::upstream::{Call, DONE, Piece, Pieces, Target};
 
@@ -142,7 +143,8 @@
     events: usize,
     /// The events so far, where the answer is stored under a key.
     kept: Vec<u8>,
-    whole: Option<Answer>,
+    /// The whole answer, and its memory until it is passed on.
+    whole: Option<(Answer, Rc<Memory>)>,
     has_ended: bool,
 }
 
@@ -219,7 +221,8 @@
     }
 
     fn dispatch(&mut self, target: Target) {
-        let pieces = self.gateway.upstreams.call(self.call.clone(), target.clone());
+        let memory = self.activity.memory(Kind::Responses);
+        let pieces = self.gateway.upstreams.call(self.call.clone(), target.clone(), memory);
         self.attempt = Some(Attempt {
             target,
             pieces,
@@ -235,9 +238,9 @@
         let Some(attempt) = &mut self.attempt else { return };
         match piece {
             Piece::Event(event) => self.handle_event(event).await,
-            Piece::Whole(answer) => {
+            Piece::Whole(answer, memory) => {
                 self.gateway.handle.event(Event::FirstToken(self.call.id));
-                attempt.whole = Some(answer);
+                attempt.whole = Some((answer, memory));
             }
             Piece::End(Ended::Broken) if self.try_resume() => {}
             Piece::End(how) => self.end(how).await,
@@ -252,7 +255,10 @@
         attempt.events += 1;
         if self.keeps_answer() {
             let attempt = self.attempt.as_mut().expect("the attempt was checked above");
-            attempt.kept.extend_from_slice(&event);
+            // Of an answer that is too long to be stored, no more is kept than shows that.
+            if attempt.kept.len() <= MAX_KEPT_BYTES {
+                attempt.kept.extend_from_slice(&event);
+            }
         }
         if !self.is_answered {
             self.forward(event).await;
@@ -307,14 +313,16 @@
     fn try_resume(&mut self) -> bool {
         let Some(attempt) = &mut self.attempt else { return false };
         let is_resumable =
-            attempt.target.kind == Kind::Engine && attempt.events > 0 && !self.is_answered;
+            attempt.target.kind == config::Kind::Engine && attempt.events > 0 && !self.is_answered;
         if !is_resumable || attempt.resumes >= MAX_RESUMES {
             return false;
         }
         attempt.resumes += 1;
         let (id, timeout) = (self.call.id, self.call.timeout);
         let address = attempt.target.address;
-        attempt.pieces = self.gateway.upstreams.resume(id, address, attempt.events, timeout);
+        let memory = self.activity.memory(Kind::Responses);
+        let events = attempt.events;
+        attempt.pieces = self.gateway.upstreams.resume(id, address, events, timeout, memory);
         true
     }
 
@@ -342,7 +350,7 @@
         }
         attempt.has_ended = true;
         let kept = match (how, &attempt.whole) {
-            (Ended::Whole, Some(whole)) if keeps => Some(whole.clone()),
+            (Ended::Whole, Some((whole, _))) if keeps => Some(whole.clone()),
             (Ended::Whole, None) if keeps => Some(kept_stream(std::mem::take(&mut attempt.kept))),
             _ => None,
         };
@@ -352,7 +360,7 @@
 
     fn cancel(&self) {
         let Some(attempt) = &self.attempt else { return };
-        if attempt.target.kind == Kind::Engine && !attempt.has_ended {
+        if attempt.target.kind == config::Kind::Engine && !attempt.has_ended {
             self.gateway.upstreams.cancel(self.call.id, attempt.target.address);
         }
     }
@@ -373,13 +381,13 @@
     fn deliver(&mut self) {
         let whole = self.attempt.as_mut().and_then(|attempt| attempt.whole.take());
         // A stream that ended without tokens is delivered as an empty one.
-        let answer = whole.unwrap_or_else(|| kept_stream(Vec::new()));
+        let answer = whole.map_or_else(|| kept_stream(Vec::new()), |(answer, _)| answer);
         self.answer(self.whole(answer));
     }
 
     /// A whole answer, whose memory is counted until its caller has read it.
     fn whole(&self, answer: Answer) -> Response<Reply> {
-        let mut memory = self.activity.memory(memory::Kind::Responses);
+        let mut memory = self.activity.memory(Kind::Responses);
         memory.add(answer.body.len());
         reply::full(answer.into_response().map(|body| memory.hold(body)))
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -108,7 +108,7 @@
                     Err(problem) => problem.into(),
                 }
             }
-            "/v1/resume" => resumed::serve(&self, &parts, permit).await,
+            "/v1/resume" => resumed::serve(&self, &parts, &activity, permit).await,
             _ => held::serve(self, parts, body, activity, permit).await,
         }
     }
--- a/crates/daemon/src/gateway/resumed.rs
+++ b/crates/daemon/src/gateway/resumed.rs
@@ -11,6 +11,8 @@
 use rosemarypond_core::id;
 use rosemarypond_core::outcome::{Outcome, Reason};
 use rosemarypond_core::resume::{self, Grant};
+use rosemarypond_edge::connections::Activity;
+use rosemarypond_edge::memory::Kind;
 use rosemarypond_edge::reply::{Reply, Sender};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -27,6 +29,7 @@
 pub async fn serve(
     gateway: &Rc<Gateway>,
     parts: &http::request::Parts,
+    activity: &Activity,
     permit: Permit,
 ) -> Response<Reply> {
     let document = match held::document(gateway) {
@@ -39,11 +42,12 @@
     };
     let timeout = document.tiers.iter().map(|t| t.deadline()).max().unwrap_or_default();
     let id = grant.request;
-    let mut pieces = gateway.upstreams.resume(id, address, from, timeout);
+    let memory = activity.memory(Kind::Responses);
+    let mut pieces = gateway.upstreams.resume(id, address, from, timeout, memory);
     let first = match next_piece(&mut pieces).await {
         Piece::Event(event) => event,
         Piece::End(Ended::Whole) => Bytes::from_static(DONE),
-        Piece::End(_) | Piece::Whole(_) => return broken(id).into(),
+        Piece::End(_) | Piece::Whole(..) => return broken(id).into(),
     };
     let (sender, response) = held::stream(id, None);
     spawn_local(async move {
@@ -94,7 +98,7 @@
         event = match next_piece(&mut pieces).await {
             Piece::Event(event) => event,
             Piece::End(Ended::Whole) => Bytes::from_static(DONE),
-            Piece::End(_) | Piece::Whole(_) => break,
+            Piece::End(_) | Piece::Whole(..) => break,
         };
     }
     // The caller may have left.
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, header, http};
 use rosemarypond_core::claim::Ended;
 use rosemarypond_core::config::Kind;
 use rosemarypond_core::id;
 use rosemarypond_core::request::Repeat;
+use rosemarypond_edge::body::{self, Shortage};
 use rosemarypond_edge::event_stream::Parser;
+use rosemarypond_edge::memory::Memory;
 use rosemarypond_edge::pool::{self, Connection, Pool};
 use serde_json::Value;
 use tokio::sync::mpsc;
@@ -75,8 +77,8 @@
 pub enum Piece {
     /// One event of a stream.
     Event(Bytes),
-    /// A whole answer that was not streamed.
-    Whole(Answer),
+    /// A whole answer that was not streamed, with the memory that is reserved for it.
+    Whole(Answer, Rc<Memory>),
     /// The end of the answer.
     End(Ended),
 }
@@ -118,15 +120,15 @@
 }
 
 impl Upstreams {
-    /// Sends a request to an upstream.
+    /// Sends a request to an upstream; what is held of its answer is reserved in `memory`.
     ///
     /// A call that must not be repeated gets a new connection, because a pooled
     /// one may have died unnoticed.
-    pub fn call(&self, call: Rc<Call>, target: Target) -> Pieces {
+    pub fn call(&self, call: Rc<Call>, target: Target, memory: Memory) -> Pieces {
         let pool = self.pool.clone();
         spawn_reader(async move |sink| {
             let call_timeout = call.timeout;
-            let exchange = exchange(&pool, &call, &target, &sink);
+            let exchange = exchange(&pool, &call, &target, memory, &sink);
             let how = timeout(call_timeout, exchange).await.unwrap_or(Ended::Broken);
             sink.send(Piece::End(how)).await;
         })
@@ -139,10 +141,11 @@
         address: SocketAddr,
         from: usize,
         call_timeout: Duration,
+        memory: Memory,
     ) -> Pieces {
         spawn_reader(async move |sink| {
             sleep(RESUME_PAUSE).await;
-            let how = timeout(call_timeout, resume(id, address, from, &sink)).await;
+            let how = timeout(call_timeout, resume(id, address, from, memory, &sink)).await;
             sink.send(Piece::End(how.unwrap_or(Ended::Broken))).await;
         })
     }
@@ -172,7 +175,13 @@
     Pieces { receiver, task }
 }
 
-async fn exchange(pool: &Pool, call: &Call, target: &Target, sink: &Sink) -> Ended {
+async fn exchange(
+    pool: &Pool,
+    call: &Call,
+    target: &Target,
+    mut memory: Memory,
+    sink: &Sink,
+) -> Ended {
     let may_keep = call.repeat.may_cancel() && !call.is_streamed;
     let opened = if may_keep {
         pool.take(target.address, CONNECT_TIMEOUT).await
@@ -188,12 +197,12 @@
         Err(pool::Error::Lost | pool::Error::Invalid) => return Ended::Broken,
     };
     if call.is_streamed && response.status() == 200 {
-        return forward_events(call.id, response, connection, sink).await;
+        return forward_events(call.id, response, connection, memory, sink).await;
     }
     let (head, body) = response.into_parts();
-    let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    let whole = body::read(body, MAX_ANSWER_BYTES, &mut memory, Shortage::Wait).await;
     let Ok(whole) = whole else { return Ended::Broken };
-    let answer = Answer::from_response(&head, whole.to_bytes());
+    let answer = Answer::from_response(&head, whole);
     if may_keep {
         pool.keep(connection, &head);
     } else {
@@ -202,11 +211,17 @@
     if !has_request_id(call, target, &answer) {
         return Ended::Broken;
     }
-    sink.send(Piece::Whole(answer)).await;
+    sink.send(Piece::Whole(answer, Rc::new(memory))).await;
     Ended::Whole
 }
 
-async fn resume(id: id::Request, address: SocketAddr, from: usize, sink: &Sink) -> Ended {
+async fn resume(
+    id: id::Request,
+    address: SocketAddr,
+    from: usize,
+    memory: Memory,
+    sink: &Sink,
+) -> Ended {
     let path = format!("/v1/streams/{id}?from={from}");
     let Ok(request) = client::request(Method::GET, address, path, "") else { return Ended::Broken };
     let Ok(mut connection) = Connection::open(address, CONNECT_TIMEOUT).await else {
@@ -214,7 +229,7 @@
     };
     match connection.send(request.map(Full::new)).await {
         Ok(response) if response.status() == 200 => {
-            forward_events(id, response, connection, sink).await
+            forward_events(id, response, connection, memory, sink).await
         }
         _ => Ended::Broken,
     }
@@ -249,6 +264,7 @@
     id: id::Request,
     response: Response<Incoming>,
     connection: Connection,
+    mut memory: Memory,
     sink: &Sink,
 ) -> Ended {
     let mut body = response.into_body();
@@ -265,7 +281,7 @@
                 return Ended::Broken;
             }
         }
-        if parser.is_overlong() {
+        if parser.is_overlong() || memory.resize(parser.held_bytes()).is_err() {
             return Ended::Broken;
         }
         match body.frame().await.map(|frame| frame.map(hyper::body::Frame::into_data)) {
