--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -214,18 +214,12 @@
         now: Instant,
     ) -> Duration {
         let mut least: [Option<Duration>; 2] = [None; 2];
-        for upstream in self.upstreams.values() {
-            let is_usable = upstream.registration.service == call.service
-                && upstream.takes_work()
-                && !excluded.contains(&upstream.registration.id)
-                && call.origin.allows(upstream.registration.release.as_ref());
-            if is_usable {
-                let is_other = upstream.registration.zone != self.location.zone;
-                let is_other = is_other && !visibility.is_full_mesh;
-                let first = upstream.least_time_to_first(call, now);
-                let least = &mut least[usize::from(is_other)];
-                *least = Some(least.map_or(first, |l| l.min(first)));
-            }
+        for upstream in self.usable(call, excluded) {
+            let is_other = upstream.registration.zone != self.location.zone;
+            let is_other = is_other && !visibility.is_full_mesh;
+            let first = upstream.least_time_to_first(call, now);
+            let least = &mut least[usize::from(is_other)];
+            *least = Some(least.map_or(first, |l| l.min(first)));
         }
         let [own, other] = least;
         own.or(other).unwrap_or_default()
@@ -234,13 +228,22 @@
     /// The least time to the end of the answer at the upstreams that may take a request;
     /// zero if none takes work.
     pub fn least_time_to_end(&self, call: &Call, excluded: &[id::Upstream]) -> Duration {
-        let usable = self.upstreams.values().filter(|upstream| {
+        let usable = self.usable(call, excluded);
+        usable.map(|upstream| upstream.idle_time_to_end(call)).min().unwrap_or_default()
+    }
+
+    /// The upstreams that take work and may take a request.
+    fn usable<'a>(
+        &'a self,
+        call: &'a Call,
+        excluded: &'a [id::Upstream],
+    ) -> impl Iterator<Item = &'a Upstream> {
+        self.upstreams.values().filter(|upstream| {
             upstream.registration.service == call.service
                 && upstream.takes_work()
                 && !excluded.contains(&upstream.registration.id)
                 && call.origin.allows(upstream.registration.release.as_ref())
-        });
-        usable.map(|upstream| upstream.idle_time_to_end(call)).min().unwrap_or_default()
+        })
     }
 
     /// Records that a request was sent.
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -12,7 +12,7 @@
 use rosemarypond_core::config::Kind;
 use rosemarypond_core::id;
 use rosemarypond_core::request::Repeat;
-use rosemarypond_edge::body::{self, Shortage};
+use rosemarypond_edge::body::{self, Shortage, reserve_part};
 use rosemarypond_edge::event_stream::Parser;
 use rosemarypond_edge::memory::Memory;
 use rosemarypond_edge::pool::{self, Connection, Pool};
@@ -281,7 +281,8 @@
                 return Ended::Broken;
             }
         }
-        if parser.is_overlong() || memory.resize(parser.held_bytes()).is_err() {
+        let reserved = reserve_part(&mut memory, parser.held_bytes());
+        if parser.is_overlong() || reserved.is_err() {
             return Ended::Broken;
         }
         match body.frame().await.map(|frame| frame.map(hyper::body::Frame::into_data)) {
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -10,6 +10,8 @@
 
 /// The smallest buffer for a body whose length is not known, in bytes.
 const MIN_BUFFER_BYTES: usize = 4 << 10;
+/// The length up to which the part of a message counts as short, in bytes.
+const SHORT_PART_BYTES: usize = 16 << 10;
 /// The pause before memory is asked for again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -84,3 +86,20 @@
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
+
+/// Reserves the memory of a part of a message that is not complete yet, in place of what was
+/// reserved for it before. A short part is kept even where memory is short, so that sound
+/// messages go on.
+///
+/// # Errors
+///
+/// Where there is no memory for a long part.
+pub fn reserve_part(memory: &mut Memory, bytes: usize) -> Result<(), Exhausted> {
+    memory.shrink(bytes);
+    let more = bytes - memory.bytes();
+    if bytes > SHORT_PART_BYTES {
+        return memory.reserve(more);
+    }
+    memory.add(more);
+    Ok(())
+}
--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -203,16 +203,6 @@
         }
     }
 
-    /// Reserves so many bytes instead of those that are reserved.
-    ///
-    /// # Errors
-    ///
-    /// Where all together would hold too much.
-    pub fn resize(&mut self, bytes: usize) -> Result<(), Exhausted> {
-        self.shrink(bytes);
-        self.reserve(bytes - self.bytes)
-    }
-
     /// Releases what is beyond `bytes`.
     pub fn shrink(&mut self, bytes: usize) {
         let less = self.bytes.saturating_sub(bytes) as i64;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -191,7 +191,7 @@
                     parser.push(&bytes);
                 }
             }
-            if partial.resize(parser.held_bytes()).is_err() {
+            if body::reserve_part(&mut partial, parser.held_bytes()).is_err() {
                 return End::Broken;
             }
             while let Some(event) = parser.next_event() {
