Bound what an upstream sends before the head of its response

Cause, by the process's log, whose last line is the last `sent`: hyper reads informational heads in one loop for as long as there are bytes, up to tokio's budget of 128 reads, and 200 connections that always have some take the only thread.

Change: a connection of the pool counts what it receives until the head of the response is complete; beyond 64 KiB the response is invalid (502), which is no evidence that the request crashed its engine.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -38,6 +38,32 @@
     stream: TcpStream,
     written: Rc<Cell<u64>>,
     is_idle: Rc<Cell<bool>>,
+    awaited: Rc<Cell<Awaited>>,
+}
+
+/// What is received while the head of a response is awaited.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Awaited {
+    /// No head is awaited.
+    #[default]
+    Nothing,
+    /// So many bytes were received, and no head.
+    Head(usize),
+    /// More than [`MAX_BYTES_BEFORE_HEAD`] were received, and no head.
+    Flood,
+}
+
+impl Awaited {
+    /// Records that so many bytes were received.
+    fn after(self, bytes: usize) -> Self {
+        match self {
+            Self::Head(before) if before + bytes <= MAX_BYTES_BEFORE_HEAD => {
+                Self::Head(before + bytes)
+            }
+            Self::Head(_) => Self::Flood,
+            other => other,
+        }
+    }
 }
 
 impl Drop for Stream {
@@ -66,7 +92,14 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let awaited = self.awaited.get().after(buffer.filled().len() - before);
+        self.awaited.set(awaited);
+        if awaited == Awaited::Flood {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        read
     }
 }
 
@@ -108,6 +141,10 @@
 /// longer. No account counts these buffers.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 
+/// The most bytes that may come before the head of a response is complete, informational
+/// heads included: hyper would read these without an end, and without a pause.
+const MAX_BYTES_BEFORE_HEAD: usize = 64 << 10;
+
 /// The task that drives a connection; dropping it closes the connection.
 #[derive(Debug)]
 struct Driver(AbortHandle);
@@ -126,6 +163,7 @@
     written: Rc<Cell<u64>>,
     /// Whether no request is in flight.
     is_idle: Rc<Cell<bool>>,
+    awaited: Rc<Cell<Awaited>>,
     _driver: Driver,
 }
 
@@ -150,7 +188,13 @@
         let stream = socket::connect(address, connect_timeout).await?;
         let written = Rc::new(Cell::new(0));
         let is_idle = Rc::new(Cell::new(true));
-        let stream = Stream { stream, written: written.clone(), is_idle: is_idle.clone() };
+        let awaited = Rc::new(Cell::new(Awaited::Nothing));
+        let stream = Stream {
+            stream,
+            written: written.clone(),
+            is_idle: is_idle.clone(),
+            awaited: awaited.clone(),
+        };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -160,7 +204,8 @@
             // `send` returns the errors of the request in flight.
             let _ = connection.await;
         });
-        Ok(Self { address, sender, written, is_idle, _driver: Driver(driver.abort_handle()) })
+        let _driver = Driver(driver.abort_handle());
+        Ok(Self { address, sender, written, is_idle, awaited, _driver })
     }
 
     /// Sends a request and waits for the head of its response.
@@ -175,8 +220,14 @@
     ) -> Result<Response<Incoming>, Error> {
         let before = self.written.get();
         self.is_idle.set(false);
-        match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+        self.awaited.set(Awaited::Head(0));
+        let answer = self.sender.try_send_request(request).await;
+        match answer {
+            Ok(response) => {
+                self.awaited.set(Awaited::Nothing);
+                Ok(response)
+            }
+            Err(_) if self.awaited.get() == Awaited::Flood => Err(Error::Invalid),
             Err(error) if error.message().is_some() => Err(Error::NotSent),
             Err(_) if self.written.get() == before => Err(Error::NotSent),
             Err(error) if error.error().is_parse() => Err(Error::Invalid),
