--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -8,6 +8,7 @@
 mod platform;
 mod rejected_twice;
 mod store;
+mod zones_apart;
 
 use std::path::Path;
 
@@ -21,6 +22,7 @@
     let folder = Path::new(folder);
     let status = match case.as_str() {
         "rejected-twice" => rejected_twice::run(folder, has_trouble),
+        "zones-apart" => zones_apart::run(folder, has_trouble),
         _ => platform::NOT_RUN,
     };
     std::process::exit(status);
