--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod http;
+mod idle_crowd;
 mod json;
 mod platform;
 mod rejected_twice;
@@ -23,6 +24,7 @@
     let status = match case.as_str() {
         "rejected-twice" => rejected_twice::run(folder, has_trouble),
         "zones-apart" => zones_apart::run(folder, has_trouble),
+        "idle-crowd" => idle_crowd::run(folder, has_trouble),
         _ => platform::NOT_RUN,
     };
     std::process::exit(status);
