--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod platform;
 mod rejected_twice;
+mod refunds;
 mod store;
 mod zones_apart;
 
@@ -25,6 +26,7 @@
         "rejected-twice" => rejected_twice::run(folder, has_trouble),
         "zones-apart" => zones_apart::run(folder, has_trouble),
         "idle-crowd" => idle_crowd::run(folder, has_trouble),
+        "refunds" => refunds::run(folder, has_trouble),
         _ => platform::NOT_RUN,
     };
     std::process::exit(status);
