--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -1,4 +1,4 @@
-//! The cases of `review/11` to `review/15` that are scripts: `harness CASE FOLDER` runs one
+//! The cases of `review/11` to `review/13` that are scripts: `harness CASE FOLDER` runs one
 //! and writes `record.txt` into its folder. `TROUBLE=0` leaves the disruption out.
 
 #![allow(dead_code)]
